Add the design page, the workspace and the message layer

Cause: nothing exists yet, and at-most-once starts cannot be added to a dispatcher later, so the design settles them first. Ruled out: lease-owned key ranges, and keys replicated inside a failure domain (design.md 2.1).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# `make demo` and `make test` do all the set-up on a machine with Python 3.11 and make.
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := messages state policy entry cli testbed
+STAMP := .venv/.installed
+
+.PHONY: demo test setup format lint types unit test-faults docs-check clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements/constraints.txt requirements/dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -c requirements/constraints.txt -r requirements/dev.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation --no-deps \
+		$(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/redwingport-testbed demo
+
+format: setup
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+lint: setup
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/lint-imports
+
+types: setup
+	$(BIN)/mypy
+
+unit: setup
+	$(BIN)/pytest
+
+test: lint types unit
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Package of redwingport."""
--- /dev/null
+++ b/packages/messages/src/redwingport_messages/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, outcomes, service documents and wire messages."""
--- /dev/null
+++ b/packages/messages/src/redwingport_messages/ids.py
@@ -0,0 +1,91 @@
+"""Submission ids, which name the incarnation that issued them."""
+
+import hashlib
+import re
+import secrets
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+NAME_PATTERN = r"[a-z0-9][a-z0-9-]{0,39}"
+TAG_BYTES = 8
+_ID = re.compile(
+    rf"({NAME_PATTERN})\.({NAME_PATTERN})\.([0-9a-f]{{16}})\.([0-9]{{1,18}})\.([0-9a-f]{{16}})"
+)
+
+
+def new_incarnation() -> str:
+    """Draw the random name of one process start.
+
+    :returns: 16 hexadecimal digits (64 random bits).
+    """
+    return secrets.token_hex(8)
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionId:
+    """Name one submission and the incarnation that may start its tasks.
+
+    :param domain: failure domain of the issuing VM.
+    :param vm: the issuing VM.
+    :param incarnation: the issuing process start.
+    :param counter: position in the sequence of that incarnation, from 1.
+    :param tag: keyed hash over the other fields, so that ids cannot be guessed.
+    """
+
+    domain: str
+    vm: str
+    incarnation: str
+    counter: int
+    tag: str
+
+    def __str__(self) -> str:
+        return f"{self.domain}.{self.vm}.{self.incarnation}.{self.counter}.{self.tag}"
+
+
+def parse_submission_id(text: str) -> Result[SubmissionId, str]:
+    """Read a submission id from its text form.
+
+    :param text: ``DOMAIN.VM.INCARNATION.COUNTER.TAG``.
+    :returns: the id, or the reason why the text is none.
+    """
+    match = _ID.fullmatch(text)
+    if match is None:
+        return Err("not a submission id (DOMAIN.VM.INCARNATION.COUNTER.TAG)")
+    domain, vm, incarnation, counter, tag = match.groups()
+    return Ok(SubmissionId(domain, vm, incarnation, int(counter), tag))
+
+
+class IdIssuer:
+    """Issue the submission ids of one incarnation.
+
+    :param domain: failure domain of this VM.
+    :param vm: name of this VM.
+    :param incarnation: name of this process start; drawn when absent.
+    """
+
+    def __init__(self, domain: str, vm: str, incarnation: str | None = None) -> None:
+        self.domain = domain
+        self.vm = vm
+        self.incarnation = incarnation or new_incarnation()
+        self.counter = 0
+        self._key = secrets.token_bytes(32)
+
+    def issue(self) -> SubmissionId:
+        """Issue the next id."""
+        self.counter += 1
+        return SubmissionId(
+            self.domain, self.vm, self.incarnation, self.counter, self._tag(self.counter)
+        )
+
+    def issued(self, submission_id: SubmissionId) -> bool:
+        """Tell whether this incarnation issued the id."""
+        return (
+            submission_id.incarnation == self.incarnation
+            and 1 <= submission_id.counter <= self.counter
+            and secrets.compare_digest(submission_id.tag, self._tag(submission_id.counter))
+        )
+
+    def _tag(self, counter: int) -> str:
+        text = f"{self.domain}.{self.vm}.{self.incarnation}.{counter}"
+        return hashlib.blake2b(text.encode(), key=self._key, digest_size=TAG_BYTES).hexdigest()
--- /dev/null
+++ b/packages/messages/src/redwingport_messages/submissions.py
@@ -0,0 +1,78 @@
+"""Submissions of callers: the job body and the request as passed between processes."""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from redwingport_messages.documents import describe_errors
+
+
+class TaskBody(BaseModel):
+    """Describe one task of a job.
+
+    :param payload: JSON value passed to the worker.
+    :param expected_ms: declared run time at speed 1, in milliseconds.
+    :param cpus: declared processors.
+    :param memory_mb: declared memory, in megabytes.
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    payload: Any = None
+    expected_ms: float = Field(default=200.0, gt=0, le=3_600_000, allow_inf_nan=False)
+    cpus: float = Field(default=1.0, gt=0, le=100_000, allow_inf_nan=False)
+    memory_mb: float = Field(default=64.0, gt=0, le=1e9, allow_inf_nan=False)
+
+
+class JobBody(BaseModel):
+    """Describe a job: tasks that run in parallel and are answered together.
+
+    :param tasks: the tasks, answered in this order.
+    :param timeout_ms: time the job may take; the service's limit when absent.
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    tasks: list[TaskBody] = Field(min_length=1, max_length=10_000)
+    timeout_ms: int | None = Field(default=None, ge=1, le=3_600_000)
+
+
+def parse_job(body: bytes) -> Result[JobBody, tuple[str, ...]]:
+    """Validate the body of a job submission.
+
+    :param body: JSON text.
+    :returns: the job, or the place and reason of every error.
+    """
+    try:
+        return Ok(JobBody.model_validate_json(body))
+    except ValidationError as error:
+        return Err(describe_errors(error)[:20])
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """Hold one job or request of a caller.
+
+    :param service: name of the service.
+    :param operation: operation of a request; empty for a job.
+    :param body: body as received.
+    :param content_type: media type of the body.
+    :param deadline: monotonic time at which the caller stops waiting, in seconds.
+    """
+
+    service: str
+    operation: str
+    body: bytes
+    content_type: str
+    deadline: float
+
+    def fingerprint(self) -> str:
+        """Return a digest of service, operation and body."""
+        digest = hashlib.blake2b(digest_size=16)
+        for part in (self.service.encode(), self.operation.encode(), self.body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return digest.hexdigest()
--- /dev/null
+++ b/packages/messages/tests/test_frames.py
@@ -0,0 +1,37 @@
+"""Guard against frames that crash the receiver or change on the way."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from redwingport_messages.exceptions import MessageError
+from redwingport_messages.frames import (
+    LENGTH_BYTES,
+    Forward,
+    Handover,
+    Heartbeat,
+    SyncAnswer,
+    decode_frame,
+    encode_frame,
+)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Heartbeat(1.5, 3, False, 7),
+        SyncAnswer([(3, "{}")], "", True),
+        Forward(1, "submit", "id", "route", "", "application/json", b"\x00\xff", 12.5),
+        Handover("00ff", [("id", "print", "complete", 200, "text/plain", b"x")], True),
+    ],
+)
+def test_decoding_an_encoded_frame_gives_the_message(message: Heartbeat) -> None:
+    assert decode_frame(encode_frame(message)[LENGTH_BYTES:], "peer") == message
+
+
+@given(st.binary(max_size=200))
+def test_arbitrary_bytes_raise_only_message_errors(body: bytes) -> None:
+    try:
+        decode_frame(body, "peer")
+    except MessageError as error:
+        assert error.peer == "peer"
