--- a/packages/testbed/src/redwingport_testbed/__init__.py
+++ b/packages/testbed/src/redwingport_testbed/__init__.py
@@ -1,1 +1,1 @@
-"""Package of redwingport."""
+"""Stand-ins, demo, load tool and bench; not shipped."""
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the test bed, one module per command."""
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: platform, workers and executors."""
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/standins/relay.py
@@ -0,0 +1,111 @@
+"""Relay TCP connections with delay, loss or silence, for tests of partitions."""
+
+import math
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from enum import StrEnum
+from time import monotonic
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+_BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+_Chunk = tuple[float, bytes]
+
+
+class RelayMode(StrEnum):
+    """Name what a relay does with bytes."""
+
+    PASS = "pass"
+    DROP = "drop"
+    SWALLOW = "swallow"
+
+
+class Relay:
+    """Forward connections from a port to a target.
+
+    :param target_port: port of the target.
+    :param target_host: IP number of the target.
+    :param delay_s: one-way delay in both directions.
+    """
+
+    def __init__(
+        self, target_port: int, target_host: str = "127.0.0.1", delay_s: float = 0.0
+    ) -> None:
+        self.delay_s = delay_s
+        self.port = 0
+        self.mode = RelayMode.PASS
+        self._target = (target_host, target_port)
+        self._streams: set[SocketStream] = set()
+
+    async def set_mode(self, mode: RelayMode) -> None:
+        """Change the mode; ``drop`` also closes all open connections."""
+        self.mode = mode
+        if mode is RelayMode.DROP:
+            for stream in list(self._streams):
+                await anyio.aclose_forcefully(stream)
+
+    @asynccontextmanager
+    async def serving(self, port: int = 0) -> AsyncIterator[int]:
+        """Listen while the context is open.
+
+        :param port: port to listen on; 0 takes a free one.
+        :returns: a context whose value is the port.
+        """
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=port, family=socket.AF_INET
+        )
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, self._connection)
+            yield self.port
+            group.cancel_scope.cancel()
+
+    async def _connection(self, near: SocketStream) -> None:
+        if self.mode is RelayMode.DROP:
+            await anyio.aclose_forcefully(near)
+            return
+        async with near:
+            try:
+                far = await anyio.connect_tcp(*self._target)
+            except OSError:
+                return
+            async with far:
+                self._streams |= {near, far}
+                try:
+                    async with anyio.create_task_group() as group:
+                        self._start_direction(group, near, far)
+                        self._start_direction(group, far, near)
+                finally:
+                    self._streams -= {near, far}
+
+    def _start_direction(self, group: TaskGroup, source: SocketStream, sink: SocketStream) -> None:
+        send, receive = anyio.create_memory_object_stream[_Chunk](math.inf)
+        group.start_soon(self._read, source, send)
+        group.start_soon(self._write, group, sink, receive)
+
+    async def _read(self, source: SocketStream, chunks: MemoryObjectSendStream[_Chunk]) -> None:
+        with chunks:
+            try:
+                async for chunk in source:
+                    if self.mode is RelayMode.PASS:
+                        chunks.send_nowait((monotonic() + self.delay_s, chunk))
+            except _BROKEN:
+                return
+
+    async def _write(
+        self, group: TaskGroup, sink: SocketStream, chunks: MemoryObjectReceiveStream[_Chunk]
+    ) -> None:
+        with chunks:
+            try:
+                async for due_at, chunk in chunks:
+                    await anyio.sleep(max(0.0, due_at - monotonic()))
+                    if self.mode is RelayMode.PASS:
+                        await sink.send(chunk)
+                while self.mode is RelayMode.SWALLOW:
+                    await anyio.sleep(0.1)
+                await sink.send_eof()
+            except _BROKEN:
+                group.cancel_scope.cancel()
