--- /dev/null
+++ b/packages/entry/src/redwingport_entry/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP API for callers and operators."""
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/api/application.py
@@ -0,0 +1,67 @@
+"""The HTTP application: all routes, health, readiness and metrics."""
+
+import logging
+from collections.abc import Callable
+from typing import cast
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+from starlette.types import ExceptionHandler
+
+from redwingport_entry.api.callers import CallerRoutes
+from redwingport_entry.api.operators import OperatorRoutes
+from redwingport_entry.api.responses import json_response, problem_response
+from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.metrics import Metrics
+from redwingport_messages.outcomes import failed
+
+logger = logging.getLogger(ROOT)
+
+
+def build_application(
+    callers: CallerRoutes,
+    operators: OperatorRoutes,
+    metrics: Metrics,
+    not_ready: Callable[[], str],
+) -> Starlette:
+    """Build the HTTP application.
+
+    :param callers: routes of callers.
+    :param operators: routes of operators.
+    :param metrics: metrics of the process.
+    :param not_ready: returns why the process is not ready, or an empty string.
+    """
+
+    async def health(request: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def ready(request: Request) -> Response:
+        reason = not_ready()
+        return json_response({"ready": not reason, "reason": reason}, 503 if reason else 200)
+
+    async def show_metrics(request: Request) -> Response:
+        return Response(generate_latest(metrics.registry), media_type=CONTENT_TYPE_LATEST)
+
+    routes = [
+        Route("/healthz", health),
+        Route("/readyz", ready),
+        Route("/metrics", show_metrics),
+        *callers.routes(),
+        *operators.routes(),
+    ]
+    handler = cast(ExceptionHandler, _internal_error)
+    return Starlette(routes=routes, exception_handlers={Exception: handler})
+
+
+async def _internal_error(request: Request, error: Exception) -> Response:
+    log_event(
+        logger,
+        logging.ERROR,
+        "request-failed",
+        path=request.url.path,
+        error=f"{type(error).__name__}: {error}",
+    )
+    return problem_response(failed("internal-error", "The process failed.", step="serve"))
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/api/responses.py
@@ -0,0 +1,60 @@
+"""Responses of the HTTP API, and reading of request bodies."""
+
+import json
+import math
+from typing import Any
+
+import anyio
+from result import Err, Ok, Result
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+
+from redwingport_messages.backend import HEADER_OUTCOME, HEADER_SUBMISSION
+from redwingport_messages.outcomes import Answer, Problem, answer_of_problem, not_run
+
+BODY_TIMEOUT_S = 30.0
+
+
+def json_response(body: Any, status: int = 200, headers: dict[str, str] | None = None) -> Response:
+    """Return a JSON response."""
+    content = json.dumps(body).encode()
+    return Response(content, status, headers, media_type="application/json")
+
+
+def answer_response(answer: Answer, submission_id: str = "") -> Response:
+    """Return the response that carries an answer."""
+    headers = {HEADER_OUTCOME: str(answer.outcome)}
+    if submission_id:
+        headers[HEADER_SUBMISSION] = submission_id
+    if answer.retry_after_s:
+        headers["Retry-After"] = str(math.ceil(answer.retry_after_s))
+    headers["Content-Type"] = answer.content_type
+    return Response(answer.body, answer.status, headers)
+
+
+def problem_response(problem: Problem) -> Response:
+    """Return the response that carries a problem."""
+    return answer_response(answer_of_problem(problem))
+
+
+async def read_request_body(request: Request, limit: int) -> Result[bytes, Problem]:
+    """Read the body of a request.
+
+    :param limit: most bytes accepted.
+    :returns: the body, or the refusal of one that is too long or too slow.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        with anyio.fail_after(BODY_TIMEOUT_S):
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > limit:
+                    detail = f"The body exceeds {limit} bytes."
+                    return Err(not_run(413, "body-too-large", detail, step="read body"))
+                chunks.append(chunk)
+    except ClientDisconnect:
+        return Err(not_run(400, "body-cut", "The caller went away.", step="read body"))
+    except TimeoutError:
+        return Err(not_run(408, "body-slow", "The body came too slowly.", step="read body"))
+    return Ok(b"".join(chunks))
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/configuration.py
@@ -0,0 +1,202 @@
+"""Service documents: polling, changes by operators and exchange with peers."""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from result import Err, Ok, Result
+
+from redwingport_entry.exceptions import PlatformError
+from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.platform import PlatformClient, TableOp, TableResult
+from redwingport_entry.settings import PlatformSettings
+from redwingport_messages.documents import (
+    ServiceDocument,
+    StoredDocument,
+    document_text,
+    parse_document,
+)
+from redwingport_messages.outcomes import Problem, not_run, outcome_unknown
+from redwingport_state.documents import DocumentStore
+
+PREFIX = "services/"
+CHANGE_TIMEOUT_S = 8.0
+RETRY_S = 0.2
+
+logger = logging.getLogger(ROOT)
+
+
+class Configuration:
+    """Keep the service documents of one process current.
+
+    :param platform: client of the platform.
+    :param store: the documents in force.
+    :param settings: section ``[platform]``.
+    :param metrics: metrics of the process.
+    :param on_news: called with each revision that was new to this process.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        store: DocumentStore,
+        settings: PlatformSettings,
+        metrics: Metrics,
+        on_news: Callable[[StoredDocument], None],
+    ) -> None:
+        self.store = store
+        self._platform = platform
+        self._settings = settings
+        self._metrics = metrics
+        self._on_news = on_news
+
+    async def poll(self) -> None:
+        """Read the index on a timer and fetch the documents that are newer there."""
+        while True:
+            try:
+                await self.refresh()
+            except PlatformError as error:
+                log_event(logger, logging.WARNING, "poll-failed", error=str(error))
+            await anyio.sleep(self._settings.poll_s)
+
+    async def refresh(self) -> None:
+        """Fetch every document of which the platform has a higher revision.
+
+        :raises PlatformError: when the platform gave no usable answer.
+        """
+        for key, revision in await self._platform.read_index(PREFIX):
+            if revision > self.store.revision(key.removeprefix(PREFIX)):
+                row = await self._platform.read_row(key)
+                if row is not None:
+                    self.take(row[0], row[1], "platform")
+        self.store.from_platform = True
+
+    def take(self, revision: int, text: str, source: str) -> bool:
+        """Take in a revision from the platform or a peer.
+
+        :param revision: the revision.
+        :param text: JSON text of the document.
+        :param source: who sent it, for the log.
+        :returns: whether it was new.
+        """
+        parsed = parse_document(text)
+        if isinstance(parsed, Err):
+            errors = "; ".join(parsed.err_value)
+            log_event(
+                logger, logging.ERROR, "document-invalid", source=source, errors=errors[:500]
+            )
+            return False
+        stored = StoredDocument(revision, parsed.ok_value)
+        if not self.store.offer(stored):
+            return False
+        self._metrics.documents.labels(stored.name).set(revision)
+        log_event(
+            logger,
+            logging.INFO,
+            "document-in-force",
+            service=stored.name,
+            revision=revision,
+            source=source,
+        )
+        self._on_news(stored)
+        return True
+
+    async def catch_up(self, name: str, expected_revision: int) -> Result[None, Problem]:
+        """Fetch the document from the platform if another revision than expected is in force.
+
+        :param expected_revision: revision that an operator wants to replace, 0 to create.
+        :returns: nothing, or the refusal when the expected revision is not the current one.
+        """
+        if self.store.revision(name) != expected_revision:
+            try:
+                row = await self._platform.read_row(PREFIX + name)
+            except PlatformError as error:
+                return Err(_unreachable(error))
+            if row is not None:
+                self.take(row[0], row[1], "platform")
+        current = self.store.revision(name)
+        if current == expected_revision or (not expected_revision and self._is_deleted(name)):
+            return Ok(None)
+        return Err(_conflict(name, expected_revision, current))
+
+    def _is_deleted(self, name: str) -> bool:
+        stored = self.store.stored_by_name.get(name)
+        return stored is None or stored.document.deleted
+
+    async def change(
+        self, document: ServiceDocument, expected_revision: int
+    ) -> Result[StoredDocument, Problem]:
+        """Write a new revision of a document.
+
+        :param document: the whole new document.
+        :param expected_revision: revision it replaces, 0 to create.
+        :returns: the new revision, which is then in force here, or the refusal.
+        """
+        stored = self.store.stored_by_name.get(document.name)
+        if not expected_revision and stored is not None and stored.document.deleted:
+            # The row of a deleted service stays, so that its revisions go on growing.
+            expected_revision = stored.revision
+        key = PREFIX + document.name
+        text = document_text(document)
+        op = TableOp(
+            op="compare_and_set" if expected_revision else "insert",
+            key=key,
+            value=text,
+            revision=expected_revision,
+        )
+        written = await self._write(op)
+        if isinstance(written, Err):
+            return written
+        result = written.ok_value
+        if not result.applied and not self._is_ours(result, text, expected_revision):
+            return Err(_conflict(document.name, expected_revision, result.revision))
+        self.take(result.revision, text, "operator")
+        return Ok(StoredDocument(result.revision, document))
+
+    async def _write(self, op: TableOp) -> Result[TableResult, Problem]:
+        """Send a write until its answer arrives.
+
+        Repeating it is safe: a compare-and-set that took effect fails the second time, and the
+        answer then carries the row that the first one wrote.
+        """
+        deadline = anyio.current_time() + CHANGE_TIMEOUT_S
+        while True:
+            try:
+                return Ok((await self._platform.transact([op]))[0])
+            except PlatformError as error:
+                if anyio.current_time() >= deadline:
+                    return Err(_undecided(error))
+                await anyio.sleep(RETRY_S)
+
+    def _is_ours(self, result: TableResult, text: str, expected_revision: int) -> bool:
+        return result.revision == expected_revision + 1 and result.value == text
+
+
+def _conflict(name: str, expected: int, actual: int) -> Problem:
+    detail = f"The service {name} has revision {actual}, not {expected}."
+    if not expected:
+        detail = f"The service {name} exists with revision {actual}."
+    return not_run(412, "revision-conflict", detail, step="write document", peer="platform")
+
+
+def _unreachable(error: PlatformError) -> Problem:
+    return not_run(
+        503,
+        "platform-unreachable",
+        "The platform cannot be reached; nothing was changed.",
+        step=error.step,
+        peer=error.peer,
+        retryable=True,
+        retry_after_s=1.0,
+    )
+
+
+def _undecided(error: PlatformError) -> Problem:
+    return outcome_unknown(
+        "change-undecided",
+        "The platform did not say whether the change took effect; read the service to find out.",
+        step=error.step,
+        peer=error.peer,
+        retryable=True,
+    )
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/exceptions.py
@@ -0,0 +1,36 @@
+"""Exceptions of the entry process."""
+
+
+class EntryError(Exception):
+    """Report a failed step with the peer it was taken against.
+
+    :param step: what was being done.
+    :param peer: the other side, or an empty string.
+    :param reason: why it failed.
+    """
+
+    def __init__(self, step: str, peer: str, reason: str) -> None:
+        super().__init__(f"{step} ({peer}): {reason}" if peer else f"{step}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
+
+
+class PlatformError(EntryError):
+    """Report that the platform did not give a usable answer."""
+
+
+class PeerError(EntryError):
+    """Report that a peer broke the protocol or the link."""
+
+
+class SettingsError(EntryError):
+    """Report every error of a settings file.
+
+    :param path: the file.
+    :param errors: one line per error, with section, key and what is allowed.
+    """
+
+    def __init__(self, path: str, errors: tuple[str, ...]) -> None:
+        super().__init__("read settings", path, f"{len(errors)} errors")
+        self.errors = errors
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/gateways/__init__.py
@@ -0,0 +1,1 @@
+"""Gateways to backend servers: connections, workers and executors."""
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -0,0 +1,287 @@
+"""Routing of single requests to the executors of one service."""
+
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+from result import Err, Ok, Result
+
+from redwingport_entry.gateways.connections import NotWrittenError, read_body, send_request
+from redwingport_entry.gateways.pool import ServerPool, decisions
+from redwingport_entry.gateways.servers import Server
+from redwingport_entry.logs import log_event
+from redwingport_messages.backend import (
+    HEADER_ATTEMPT,
+    HEADER_LOAD,
+    HEADER_OUTCOME,
+    HEADER_SUBMISSION,
+    HEADER_TASK,
+    parse_load,
+)
+from redwingport_messages.outcomes import Answer, Outcome
+from redwingport_messages.submissions import Submission
+from redwingport_policy.base import Work
+from redwingport_policy.estimates import RunTimes, learn_slowness
+from redwingport_policy.fair_queue import FairQueue
+
+TICK_S = 0.05
+MAX_ANSWER_BYTES = 12 * 1024 * 1024
+LOST_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+@dataclass(slots=True)
+class Waiter:
+    """Hold one request that waits for an executor.
+
+    :param team: team the request is counted for.
+    :param deadline: monotonic time by which the caller needs the answer.
+    :param run_s: expected run time at the mean executor, in seconds.
+    :param server: the executor, once chosen.
+    """
+
+    team: str
+    deadline: float
+    run_s: float
+    server: Server | None = None
+    ticket: int = -1
+    chosen: anyio.Event = field(default_factory=anyio.Event)
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Describe one attempt of a request.
+
+    :param submission_id: the submission id.
+    :param submission: the request.
+    :param number: attempts before this one.
+    :param run_s: expected run time, in seconds.
+    """
+
+    submission_id: str
+    submission: Submission
+    number: int
+    run_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """Say that the executor saw nothing of the request or refused to run it.
+
+    :param server: the executor.
+    :param reason: what happened.
+    """
+
+    server: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Say that the request may have run but no usable answer arrived.
+
+    :param server: the executor.
+    :param reason: what happened.
+    """
+
+    server: str
+    reason: str
+
+
+class ExecutorPool(ServerPool):
+    """Queue the requests of one service, choose executors and exchange requests."""
+
+    def prepare(self, service: str) -> None:
+        """Set the service and make the queue."""
+        self.service = service
+        self.run_times = RunTimes()
+        self.queue: FairQueue[Waiter] = FairQueue(dict(self.settings.quotas))
+
+    def expected_wait_s(self, run_s: float) -> float:
+        """Estimate how long a new request waits, in seconds."""
+        slots = sum(s.view.slots for s in self.server_by_id.values() if not s.view.leaving)
+        others = sum(s.view.other_active for s in self.server_by_id.values())
+        own_share = max(slots - others, 1.0)
+        return self.queue.run_s / own_share if slots else 0.0
+
+    async def acquire(self, waiter: Waiter) -> Result[Server, str]:
+        """Wait until an executor is chosen.
+
+        :returns: the executor, or the reason why none was chosen before the deadline.
+        """
+        waiter.ticket = self.queue.push(waiter)
+        self.dispatch()
+        with anyio.move_on_at(waiter.deadline):
+            await waiter.chosen.wait()
+        if waiter.server is None:
+            self.queue.remove(waiter.ticket, waiter)
+            if not self.server_by_id:
+                return Err("no executor is listed")
+            return Err("no executor was free before the deadline")
+        return Ok(waiter.server)
+
+    async def run(self) -> None:
+        """Dispatch on a timer: load facts fade without an event."""
+        while True:
+            await anyio.sleep(TICK_S)
+            if self.queue.length:
+                self.dispatch()
+            self.metrics.queued.labels(f"executor:{self.service}").set(self.queue.length)
+
+    def dispatch(self) -> None:
+        """Give waiting requests to executors, in the order of the queue."""
+        now = self.clock()
+        while (head := self.queue.peek()) is not None:
+            _, waiter = head
+            views = [
+                s.view for s in self.candidates(now) if s.view.own_active < s.connections.limit
+            ]
+            if not views:
+                return
+            work = Work(waiter.run_s, self.queue.length, now, True)
+            chosen = self.chooser.choose(views, work)
+            if chosen is None:
+                return
+            self.queue.take(waiter)
+            chosen.own_active += 1
+            waiter.server = self.server_by_id[chosen.server_id]
+            waiter.chosen.set()
+
+    async def exchange(self, server: Server, attempt: Attempt) -> Answer | NotSent | Lost:
+        """Send one attempt to the executor that :meth:`acquire` returned.
+
+        :returns: the executor's answer, or what is known when there is none.
+        """
+        done = anyio.Event()
+        outcome: Answer | NotSent | Lost = NotSent(server.info.vm, "not tried")
+
+        async def run(connection: httpcore.AsyncHTTPConnection) -> bool:
+            nonlocal outcome
+            outcome = await self._send(connection, server, attempt)
+            done.set()
+            return isinstance(outcome, Answer)
+
+        server.connections.submit(run)
+        try:
+            await done.wait()
+        finally:
+            server.view.own_active -= 1
+        if isinstance(outcome, Lost):
+            self.count_end(server, False)
+        self.dispatch()
+        return outcome
+
+    async def _send(
+        self, connection: httpcore.AsyncHTTPConnection, server: Server, attempt: Attempt
+    ) -> Answer | NotSent | Lost:
+        submission = attempt.submission
+        vm = server.info.vm
+        now = self.clock()
+        remaining_s = submission.deadline - now
+        if remaining_s <= 0 or server.view.leaving:
+            return NotSent(vm, "leaving" if server.view.leaving else "deadline passed")
+        key = (attempt.submission_id, attempt.number)
+        server.view.start_by_task[key] = now
+        try:
+            with anyio.fail_after(remaining_s):
+                return await self._exchange(connection, server, attempt, remaining_s)
+        except NotWrittenError as error:
+            self.count_unreachable(server)
+            return NotSent(vm, str(error))
+        except LOST_ERRORS as error:
+            return Lost(vm, f"{type(error).__name__}: {error}")
+        except TimeoutError:
+            return Lost(vm, "no answer before the deadline")
+        finally:
+            server.view.start_by_task.pop(key, None)
+
+    async def _exchange(
+        self,
+        connection: httpcore.AsyncHTTPConnection,
+        server: Server,
+        attempt: Attempt,
+        remaining_s: float,
+    ) -> Answer | NotSent | Lost:
+        submission = attempt.submission
+        headers = [
+            (b"content-type", submission.content_type.encode("latin-1", "replace")),
+            (HEADER_SUBMISSION.encode(), attempt.submission_id.encode()),
+            (HEADER_TASK.encode(), b"0"),
+            (HEADER_ATTEMPT.encode(), b"%d" % attempt.number),
+        ]
+        self.metrics.messages.labels("request").inc()
+        started_at = self.clock()
+        response = await send_request(
+            connection,
+            "POST",
+            server.url(f"/operations/{submission.operation}"),
+            headers,
+            submission.body,
+            remaining_s,
+        )
+        try:
+            body = await read_body(response, MAX_ANSWER_BYTES)
+        finally:
+            await response.aclose()
+        self.metrics.messages.labels("request-answer").inc()
+        if body is None:
+            return Lost(server.info.vm, f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+        fields = {name.lower().decode(): value.decode() for name, value in response.headers}
+        if not _echoes(fields, attempt):
+            return Lost(server.info.vm, "the answer names another request")
+        self._take_load(server, fields.get(HEADER_LOAD.lower(), ""))
+        if fields.get(HEADER_OUTCOME.lower()) == Outcome.NOT_RUN:
+            return NotSent(server.info.vm, "refused by the executor")
+        self.metrics.starts.labels("executor").inc()
+        self._learn(server, attempt, response.status, self.clock() - started_at)
+        outcome = Outcome.COMPLETE if response.status < 500 else Outcome.FAILED
+        content_type = fields.get("content-type", "application/octet-stream")
+        return Answer(outcome, response.status, content_type, body)
+
+    def _learn(self, server: Server, attempt: Attempt, status: int, run_s: float) -> None:
+        succeeded = status < 500
+        self.count_end(server, succeeded)
+        if succeeded:
+            learn_slowness(server.view, attempt.run_s, run_s)
+            operation = attempt.submission.operation
+            self.run_times.learn(operation, 1.0, run_s * 1000.0 / server.view.slowness)
+
+    def _take_load(self, server: Server, text: str) -> None:
+        parsed = parse_load(text)
+        if isinstance(parsed, Err):
+            return
+        load = parsed.ok_value
+        view = server.view
+        view.slots = load.slots
+        # The answer that carries the load still counts as one of our own.
+        view.other_active = max(0.0, load.active + load.queued - (view.own_active - 1))
+        view.load_at = self.clock()
+        view.leaving = view.leaving or load.leaving
+        self.note_leaving(server)
+
+
+def _echoes(fields: dict[str, str], attempt: Attempt) -> bool:
+    return (
+        fields.get(HEADER_SUBMISSION.lower()) == attempt.submission_id
+        and fields.get(HEADER_TASK.lower()) == "0"
+        and fields.get(HEADER_ATTEMPT.lower()) == str(attempt.number)
+    )
+
+
+def log_route(
+    service: str, attempt: Attempt, server: Server, chooser: str, candidates: int, queued: int
+) -> None:
+    """Log one routing decision."""
+    log_event(
+        decisions,
+        logging.INFO,
+        "route",
+        submission=attempt.submission_id,
+        service=service,
+        operation=attempt.submission.operation,
+        server=server.info.vm,
+        attempt=attempt.number,
+        reason=chooser,
+        candidates=candidates,
+        queued=queued,
+    )
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -0,0 +1,159 @@
+"""The backend servers of one kind that a process uses."""
+
+import logging
+import math
+import random
+from collections.abc import Callable, Iterable
+
+from anyio.abc import TaskGroup
+
+from redwingport_entry.gateways.connections import ServerConnections
+from redwingport_entry.gateways.servers import Server
+from redwingport_entry.logs import DECISIONS, ROOT, log_event
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.settings import Settings
+from redwingport_messages.vms import VmInfo
+from redwingport_policy.backends import CHOOSER_BY_NAME
+from redwingport_policy.base import Candidate
+from redwingport_policy.ejection import Ejector
+from redwingport_policy.subset import rendezvous_subset
+from redwingport_state.clock import Clock, monotonic
+from redwingport_state.membership import MembershipView
+
+UNREACHABLE_S = 1.0
+# Load facts are trusted less the older they are: other processes' tasks end meanwhile.
+LOAD_FADE_S = 1.0
+
+decisions = logging.getLogger(DECISIONS)
+logger = logging.getLogger(ROOT)
+
+
+class ServerPool:
+    """Hold backend servers and what is common to workers and executors.
+
+    :param task_group: owner of the connection tasks.
+    :param settings: settings of the process.
+    :param membership: the view of all VMs.
+    :param metrics: metrics of the process.
+    :param on_leaving: called with the name of a server that says it is leaving.
+    :param clock: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        task_group: TaskGroup,
+        settings: Settings,
+        membership: MembershipView,
+        metrics: Metrics,
+        on_leaving: Callable[[str], None],
+        clock: Clock = monotonic,
+    ) -> None:
+        self.server_by_id: dict[str, Server] = {}
+        self.settings = settings
+        self.membership = membership
+        self.metrics = metrics
+        self.clock = clock
+        self.ejector = Ejector()
+        self._task_group = task_group
+        self._on_leaving = on_leaving
+        self.rng = random.Random(settings.policy.seed or None)
+        self.chooser = CHOOSER_BY_NAME[settings.policy.chooser](self.rng)
+
+    def sync(self, infos: Iterable[VmInfo], connection_limit: Callable[[VmInfo], int]) -> None:
+        """Take in the listed servers: add new ones, drop unlisted ones, note leaving ones.
+
+        :param infos: servers as listed.
+        :param connection_limit: gives the connections this process may open to a server.
+        """
+        listed = {info.vm: info for info in self._subset(list(infos))}
+        for vm in self.server_by_id.keys() - listed.keys():
+            self.server_by_id.pop(vm).connections.close_idle()
+        for vm, info in listed.items():
+            server = self.server_by_id.get(vm)
+            if server is not None and (server.info.host, server.info.port) != (
+                info.host,
+                info.port,
+            ):
+                server.connections.close_idle()
+                server = None
+            if server is None:
+                server = self.server_by_id[vm] = self._new_server(info)
+            server.info = info
+            server.connections.limit = connection_limit(info)
+            server.view.leaving = server.view.leaving or vm in self.membership.leaving
+
+    def mark_leaving(self, vm: str) -> None:
+        """Send nothing new to a server; a no-op for unknown ones."""
+        server = self.server_by_id.get(vm)
+        if server is not None:
+            server.view.leaving = True
+
+    def note_leaving(self, server: Server) -> None:
+        """Pass on what a server said of itself, once."""
+        if server.view.leaving and self.membership.mark_leaving(server.info.vm):
+            log_event(logger, logging.INFO, "server-leaving", server=server.info.vm)
+            self._on_leaving(server.info.vm)
+
+    def candidates(self, now: float) -> list[Server]:
+        """Return the servers that may get new work; the local ones if any has a free slot."""
+        usable = [server for server in self.server_by_id.values() if self._usable(server, now)]
+        for server in usable:
+            self._refresh(server, now)
+        local = [s for s in usable if s.view.local]
+        if any(s.view.held_slots > 0 or s.view.free_slots >= 1 for s in local):
+            return local
+        return usable
+
+    def count_end(self, server: Server, succeeded: bool) -> None:
+        """Count the end of a task for the ejection of failing servers."""
+        views = [other.view for other in self.server_by_id.values()]
+        if self.ejector.record(server.view, succeeded, self.clock(), views):
+            self.metrics.ejections.inc()
+            log_event(
+                logger,
+                logging.WARNING,
+                "server-ejected",
+                server=server.info.vm,
+                seconds=server.view.ejected_until - self.clock(),
+            )
+
+    def count_unreachable(self, server: Server) -> None:
+        """Note that connecting failed, so that the server is not tried again at once."""
+        server.unreachable_until = self.clock() + UNREACHABLE_S
+
+    def _usable(self, server: Server, now: float) -> bool:
+        view = server.view
+        if view.leaving or server.unreachable_until > now:
+            return False
+        return self.ejector.admits(view, now)
+
+    def _refresh(self, server: Server, now: float) -> None:
+        view = server.view
+        if server.held_deadline <= now:
+            view.held_slots = 0
+        age = now - view.load_at
+        if view.other_active > 0 and age > 0:
+            view.other_active *= math.exp(-age / LOAD_FADE_S)
+            view.load_at = now
+
+    def _subset(self, infos: list[VmInfo]) -> list[VmInfo]:
+        size = self.settings.limits.subset_size
+        own = self.settings.entry
+        chosen: set[str] = set()
+        for local in (True, False):
+            names = [info.vm for info in infos if (info.domain == own.domain) is local]
+            chosen.update(rendezvous_subset(own.name, names, size))
+        return [info for info in infos if info.vm in chosen]
+
+    def _new_server(self, info: VmInfo) -> Server:
+        view = Candidate(
+            server_id=info.vm,
+            domain=info.domain,
+            local=info.domain == self.settings.entry.domain,
+            slots=info.slots,
+            rack=info.rack,
+            cpus=info.cpus,
+            memory_mb=info.memory_mb,
+        )
+        connections = ServerConnections(self._task_group, info.host, info.port, 1)
+        return Server(info, view, connections)
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/gateways/servers.py
@@ -0,0 +1,55 @@
+"""What a gateway keeps about one backend server beside the policy's view of it."""
+
+from dataclasses import dataclass
+
+import httpcore
+
+from redwingport_entry.gateways.connections import ServerConnections
+from redwingport_messages.backend import WorkerLoad
+from redwingport_messages.vms import VmInfo
+from redwingport_policy.base import Candidate
+
+
+@dataclass(slots=True)
+class Server:
+    """Hold the state of one backend server.
+
+    :param info: the VM as listed.
+    :param view: the policy's view.
+    :param connections: the connections to it.
+    :param confirmed: tasks of this process that the server said it started, not yet ended.
+    :param lease: id of the lease held, or an empty string.
+    :param lease_deadline: monotonic time at which the lease ends.
+    :param held_deadline: monotonic time until which held slots may be used.
+    :param clock_offset: server's clock minus the monotonic clock, in seconds; None if unknown.
+    :param unreachable_until: monotonic time until which connecting is not tried again.
+    """
+
+    info: VmInfo
+    view: Candidate
+    connections: ServerConnections
+    confirmed: int = 0
+    lease: str = ""
+    lease_deadline: float = 0.0
+    held_deadline: float = 0.0
+    clock_offset: float | None = None
+    unreachable_until: float = 0.0
+
+    def url(self, path: str) -> httpcore.URL:
+        """Return the address of a path on the server."""
+        return httpcore.URL(scheme="http", host=self.info.host, port=self.info.port, target=path)
+
+    def apply_worker_load(self, load: WorkerLoad, now: float, hold_s: float) -> None:
+        """Take in the load facts of a worker.
+
+        :param now: monotonic time at which they arrived.
+        :param hold_s: how long idle slots stay held, in seconds.
+        """
+        view = self.view
+        view.slots = load.slots
+        view.held_slots = load.held
+        view.other_active = max(0.0, load.slots - load.free - load.held - self.confirmed)
+        view.load_at = now
+        view.leaving = view.leaving or load.leaving
+        if load.held:
+            self.held_deadline = now + hold_s
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/logs.py
@@ -0,0 +1,76 @@
+"""Structured logs: one line per event, as JSON or as key=value."""
+
+import json
+import logging
+import sys
+import time
+from typing import Any
+
+from redwingport_entry.settings import LogSettings
+
+ROOT = "redwingport"
+DECISIONS = "redwingport.decisions"
+
+
+class _LineFormatter(logging.Formatter):
+    """Format the event and the fields given as ``extra={"fields": {...}}``."""
+
+    def __init__(self, as_json: bool) -> None:
+        super().__init__()
+        self._as_json = as_json
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line; see :class:`logging.Formatter`."""
+        fields: dict[str, Any] = {
+            "time": f"{time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(record.created))}"
+            f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        if record.exc_info:
+            fields["error"] = " | ".join(self.formatException(record.exc_info).splitlines()[-1:])
+        if self._as_json:
+            return json.dumps(fields, default=str)
+        return " ".join(f"{key}={_quoted(value)}" for key, value in fields.items())
+
+
+def _quoted(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    # Quoting keeps a value from callers or peers from starting a new line or field.
+    if not text or any(c in ' "=\\' or not c.isprintable() for c in text):
+        return json.dumps(text)
+    return text
+
+
+def configure_logging(settings: LogSettings) -> None:
+    """Set up the loggers of the process.
+
+    :param settings: the log settings.
+    """
+    handler: logging.Handler
+    if settings.file:
+        handler = logging.FileHandler(settings.file, encoding="utf-8")
+    else:
+        handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_LineFormatter(settings.format == "json"))
+    logger = logging.getLogger(ROOT)
+    logger.handlers[:] = [handler]
+    logger.propagate = False
+    logger.setLevel(settings.level.upper())
+    decisions = logging.getLogger(DECISIONS)
+    decisions.setLevel(settings.level.upper() if settings.decisions else logging.ERROR)
+
+
+def log_event(logger: logging.Logger, level: int, event: str, /, **fields: Any) -> None:
+    """Log an event with its fields.
+
+    :param logger: the logger.
+    :param level: level of the line.
+    :param event: name of the event, in kebab case.
+    :param fields: further fields of the line.
+    """
+    if logger.isEnabledFor(level):
+        logger.log(level, event, extra={"fields": fields})
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry processes."""
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -0,0 +1,286 @@
+"""What peers tell and ask each other."""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err
+
+from redwingport_entry.configuration import Configuration
+from redwingport_entry.exceptions import PeerError
+from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.peers.link import PeerLink
+from redwingport_entry.peers.mesh import PeerMesh
+from redwingport_entry.submissions import Submissions
+from redwingport_entry.vms import VmWatcher
+from redwingport_messages.documents import StoredDocument, document_text
+from redwingport_messages.frames import (
+    Document,
+    Forward,
+    ForwardAnswer,
+    Frame,
+    Handover,
+    Heartbeat,
+    RevisionAnswer,
+    RevisionQuery,
+    ServerLeaving,
+    SyncAnswer,
+    SyncRequest,
+    VmListNews,
+)
+from redwingport_messages.ids import SubmissionId, parse_submission_id
+from redwingport_messages.outcomes import (
+    Answer,
+    Outcome,
+    Problem,
+    answer_of_problem,
+    not_run,
+    outcome_unknown,
+)
+from redwingport_messages.submissions import Submission
+from redwingport_state.documents import DocumentStore
+from redwingport_state.membership import MembershipView
+
+FORWARD_GRACE_S = 1.5
+STILL_RUNNING = "still-running"
+
+logger = logging.getLogger(ROOT)
+
+
+class PeerExchange:
+    """Answer the messages of peers, and send those of this process.
+
+    :param task_group: owner of the forwarded calls.
+    :param configuration: service documents.
+    :param vms: the VM list.
+    :param submissions: submissions of this incarnation.
+    :param on_server_leaving: called with the names of leaving backend servers.
+    """
+
+    def __init__(
+        self,
+        task_group: TaskGroup,
+        configuration: Configuration,
+        vms: VmWatcher,
+        submissions: Submissions,
+        on_server_leaving: Callable[[str], None],
+    ) -> None:
+        self.mesh: PeerMesh
+        self._task_group = task_group
+        self._configuration = configuration
+        self._vms = vms
+        self._submissions = submissions
+        self._on_server_leaving = on_server_leaving
+
+    @property
+    def _store(self) -> DocumentStore:
+        return self._configuration.store
+
+    @property
+    def _membership(self) -> MembershipView:
+        return self._vms.view
+
+    async def handle(self, link: PeerLink, message: Frame) -> None:
+        """Act on one message of a peer."""
+        match message:
+            case Heartbeat():
+                await self._take_heartbeat(link, message)
+            case Document():
+                self._configuration.take(message.revision, message.text, link.peer.vm)
+            case SyncRequest():
+                await link.send(self._sync_answer())
+            case SyncAnswer():
+                self._take_sync(link, message)
+            case VmListNews():
+                self._vms.take_text(message.vm_list, link.peer.vm)
+            case ServerLeaving():
+                for vm in message.servers:
+                    if self._membership.mark_leaving(vm):
+                        self._on_server_leaving(vm)
+            case RevisionQuery():
+                revision = self._store.revision(message.service)
+                await link.send(RevisionAnswer(message.call, revision))
+            case Forward():
+                self._task_group.start_soon(self._answer_forward, link, message)
+            case Handover():
+                self._take_handover(link, message)
+            case _:
+                log_event(logger, logging.WARNING, "unexpected-message", peer=link.peer.vm)
+
+    def announce_document(self, stored: StoredDocument) -> None:
+        """Send a revision that is new here to all peers, in the background."""
+        message = Document(stored.revision, document_text(stored.document))
+        self._task_group.start_soon(self.mesh.broadcast, message)
+
+    def announce_leaving(self, vm: str) -> None:
+        """Tell all peers that a backend server is leaving, in the background."""
+        self._task_group.start_soon(self.mesh.broadcast, ServerLeaving([vm]))
+
+    async def forward(
+        self, kind: str, submission_id: SubmissionId, submission: Submission
+    ) -> Answer:
+        """Pass a submission, a read or a cancellation to the owner named in its id.
+
+        :param kind: ``submit``, ``read`` or ``cancel``.
+        :returns: the owner's answer, that of a process that took over its records, or what is
+            known when neither answers.
+        """
+        fingerprint = submission.fingerprint() if kind == "submit" else ""
+        taken = self._submissions.answer_taken(submission_id, fingerprint)
+        if taken is not None:
+            return taken
+        error = PeerError("forward", submission_id.vm, "the owner has ended")
+        for vm in self._targets(submission_id):
+            try:
+                link = await self.mesh.reach(vm)
+                return await self._call(link, kind, submission_id, submission)
+            except PeerError as failure:
+                error = failure
+                if failure.step == "call":
+                    break
+        return answer_of_problem(self._unreachable(submission_id, error))
+
+    def _targets(self, submission_id: SubmissionId) -> list[str]:
+        """Return the owner, or the processes that may have taken over its records."""
+        if not self._is_gone(submission_id):
+            return [submission_id.vm]
+        return [
+            info.vm
+            for info in self._membership.entries_in(submission_id.domain)
+            if info.vm != self.mesh.own_name
+        ][:3]
+
+    def _is_gone(self, submission_id: SubmissionId) -> bool:
+        return self._membership.is_gone(submission_id.vm, submission_id.incarnation)
+
+    async def _call(
+        self,
+        link: PeerLink,
+        kind: str,
+        submission_id: SubmissionId,
+        submission: Submission,
+    ) -> Answer:
+        remaining_s = max(submission.deadline - anyio.current_time(), 0.0)
+        message = Forward(
+            0,
+            kind,
+            str(submission_id),
+            submission.service,
+            submission.operation,
+            submission.content_type,
+            submission.body,
+            remaining_s * 1000.0,
+        )
+        answer = await link.call_forward(message, submission.deadline + FORWARD_GRACE_S)
+        return Answer(
+            Outcome(answer.outcome),
+            answer.status,
+            answer.content_type,
+            answer.body,
+            answer.retry_after_s,
+        )
+
+    def _unreachable(self, submission_id: SubmissionId, error: PeerError) -> Problem:
+        gone = self._is_gone(submission_id)
+        detail = (
+            "The process that owned this id has ended; nothing will start under it."
+            if gone
+            else "The process that owns this id did not answer; it may have run."
+        )
+        return outcome_unknown(
+            "owner-gone" if gone else "owner-unreachable",
+            detail,
+            step=error.step,
+            peer=error.peer,
+            retryable=not gone,
+            retry_after_s=0.0 if gone else 1.0,
+        )
+
+    async def _answer_forward(self, link: PeerLink, message: Forward) -> None:
+        answer = await self._run_forward(message)
+        try:
+            await link.send(
+                ForwardAnswer(
+                    message.call,
+                    message.submission_id,
+                    str(answer.outcome),
+                    answer.status,
+                    answer.content_type,
+                    answer.body,
+                    answer.retry_after_s,
+                )
+            )
+        except PeerError as error:
+            log_event(
+                logger,
+                logging.INFO,
+                "forward-answer-lost",
+                peer=link.peer.vm,
+                submission=message.submission_id,
+                error=error.reason,
+            )
+
+    async def _run_forward(self, message: Forward) -> Answer:
+        """Run a forwarded call here; a call is never forwarded a second time."""
+        parsed = parse_submission_id(message.submission_id)
+        if isinstance(parsed, Err):
+            return answer_of_problem(not_run(400, "invalid-id", parsed.err_value, step="forward"))
+        submission_id = parsed.ok_value
+        deadline = anyio.current_time() + message.remaining_ms / 1000.0
+        submission = Submission(
+            message.service, message.operation, message.body, message.content_type, deadline
+        )
+        submit = message.kind == "submit"
+        if submission_id.incarnation != self._submissions.table.issuer.incarnation:
+            fingerprint = submission.fingerprint() if submit else ""
+            taken = self._submissions.answer_taken(submission_id, fingerprint)
+            if taken is not None:
+                return taken
+            error = PeerError("forward", submission_id.vm, "another incarnation answers")
+            return answer_of_problem(self._unreachable(submission_id, error))
+        if submit:
+            return await self._submissions.submit_own(submission_id, submission)
+        if message.kind == "cancel":
+            return await self._submissions.cancel(submission_id, deadline)
+        answer = await self._submissions.read(submission_id, deadline)
+        return answer or answer_of_problem(still_running())
+
+    async def _take_heartbeat(self, link: PeerLink, message: Heartbeat) -> None:
+        first = link.heartbeat is None
+        link.heartbeat = message
+        link.leaving = message.leaving
+        self._membership.weight_by_vm[link.peer.vm] = message.weight
+        if first:
+            await link.send(SyncRequest())
+        elif message.vms_version < self._membership.vm_list.version:
+            await link.send(VmListNews(self._membership.vm_list.model_dump_json()))
+
+    def _sync_answer(self) -> SyncAnswer:
+        rows = [
+            (stored.revision, document_text(stored.document))
+            for stored in self._store.stored_by_name.values()
+        ]
+        vm_list = self._membership.vm_list
+        text = vm_list.model_dump_json() if vm_list.vms else ""
+        return SyncAnswer(rows, text, self._store.from_platform)
+
+    def _take_sync(self, link: PeerLink, message: SyncAnswer) -> None:
+        self._vms.take_text(message.vm_list, link.peer.vm)
+        for revision, text in message.documents:
+            self._configuration.take(revision, text, link.peer.vm)
+        self.mesh.synced_vms.add(link.peer.vm)
+        if message.from_platform:
+            self._store.from_platform = True
+
+    def _take_handover(self, link: PeerLink, message: Handover) -> None:
+        for submission_id, fingerprint, outcome, status, content_type, body in message.records:
+            answer = Answer(Outcome(outcome), status, content_type, body)
+            self._submissions.taken.take(submission_id, fingerprint, answer)
+
+
+def still_running() -> Problem:
+    """Describe a submission that has no answer yet."""
+    return outcome_unknown(
+        STILL_RUNNING, "The submission has no answer yet.", step="read", retryable=True
+    )
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/peers/framing.py
@@ -0,0 +1,57 @@
+"""Frames on a byte stream."""
+
+import anyio
+from anyio.abc import ByteStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from redwingport_messages.exceptions import MessageError
+from redwingport_messages.frames import (
+    LENGTH_BYTES,
+    MAX_FRAME_BYTES,
+    Frame,
+    decode_frame,
+    encode_frame,
+)
+
+MAX_HANDSHAKE_BYTES = 4096
+
+
+class FrameStream:
+    """Send and receive frames on one connection.
+
+    :param stream: the connection.
+    :param peer: name or address of the other side, for errors.
+    """
+
+    def __init__(self, stream: ByteStream, peer: str) -> None:
+        self.peer = peer
+        self._stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+        self._send_lock = anyio.Lock()
+
+    async def send(self, message: Frame) -> None:
+        """Send one message.
+
+        :raises anyio.BrokenResourceError, anyio.ClosedResourceError: when the link is gone.
+        """
+        data = encode_frame(message)
+        async with self._send_lock:
+            await self._stream.send(data)
+
+    async def receive(self, max_bytes: int = MAX_FRAME_BYTES) -> Frame:
+        """Receive one message.
+
+        :param max_bytes: longest body accepted.
+        :raises MessageError: when the frame is too long or not a known message.
+        :raises anyio.EndOfStream, anyio.IncompleteRead, anyio.BrokenResourceError: when the link
+            is gone.
+        """
+        length = int.from_bytes(await self._reader.receive_exactly(LENGTH_BYTES), "big")
+        if length > max_bytes:
+            raise MessageError("receive frame", self.peer, f"{length} bytes exceed {max_bytes}")
+        return decode_frame(await self._reader.receive_exactly(length), self.peer)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+            await self._stream.aclose()
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/peers/link.py
@@ -0,0 +1,171 @@
+"""One open link to a peer."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from redwingport_entry.exceptions import PeerError
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.peers.framing import FrameStream
+from redwingport_messages.exceptions import MessageError
+from redwingport_messages.frames import (
+    Forward,
+    ForwardAnswer,
+    Frame,
+    Heartbeat,
+    Hello,
+    RevisionAnswer,
+    RevisionQuery,
+)
+
+LINK_ERRORS = (
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    MessageError,
+    OSError,
+)
+SEND_TIMEOUT_S = 5.0
+
+Handler = Callable[["PeerLink", Frame], Awaitable[None]]
+
+
+class PeerLink:
+    """Exchange frames with one peer until the link breaks.
+
+    :param frames: the connection, after the handshake.
+    :param peer: greeting of the peer.
+    :param dialed: whether this process opened the link.
+    :param silence_limit_s: silence after which the link is closed, in seconds.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        frames: FrameStream,
+        peer: Hello,
+        dialed: bool,
+        silence_limit_s: float,
+        metrics: Metrics,
+    ) -> None:
+        self.peer = peer
+        self.dialed = dialed
+        self.leaving = False
+        self.sent_at = 0.0
+        self.heartbeat: Heartbeat | None = None
+        self._frames = frames
+        self._silence_limit_s = silence_limit_s
+        self._metrics = metrics
+        self._calls = 0
+        self._answer_by_call: dict[int, ForwardAnswer | RevisionAnswer] = {}
+        self._waiter_by_call: dict[int, anyio.Event] = {}
+        self._closed = anyio.Event()
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the link is gone."""
+        return self._closed.is_set()
+
+    async def send(self, message: Frame) -> None:
+        """Send a message.
+
+        A peer that does not read is treated as gone, so that it cannot hold up this process.
+
+        :raises PeerError: when the link is gone.
+        """
+        if self.is_closed:
+            raise PeerError("send", self.peer.vm, "the link is closed")
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_S):
+                await self._frames.send(message)
+        except (*LINK_ERRORS, TimeoutError) as error:
+            await self.close()
+            raise PeerError("send", self.peer.vm, type(error).__name__) from error
+        self.sent_at = anyio.current_time()
+        self._metrics.messages.labels(f"peer-{type(message).__name__}").inc()
+
+    async def serve(self, handle: Handler) -> None:
+        """Receive messages until the link breaks.
+
+        :param handle: called with each message that is not an answer to a call.
+        """
+        try:
+            while not self.is_closed:
+                with anyio.fail_after(self._silence_limit_s):
+                    message = await self._frames.receive()
+                if isinstance(message, ForwardAnswer | RevisionAnswer):
+                    self._take_answer(message)
+                else:
+                    await handle(self, message)
+        except (*LINK_ERRORS, TimeoutError):
+            pass
+        finally:
+            await self.close()
+
+    async def call_forward(self, message: Forward, deadline: float) -> ForwardAnswer:
+        """Send a submission and wait for its answer.
+
+        :param message: the submission; its ``call`` is set here.
+        :param deadline: monotonic time at which the wait ends.
+        :raises PeerError: when no answer arrived; the submission may have run.
+        """
+        self._calls += 1
+        numbered = Forward(
+            self._calls,
+            message.kind,
+            message.submission_id,
+            message.service,
+            message.operation,
+            message.content_type,
+            message.body,
+            message.remaining_ms,
+        )
+        answer = await self._call(self._calls, numbered, deadline)
+        if not isinstance(answer, ForwardAnswer):
+            raise PeerError("forward", self.peer.vm, "answered with another message")
+        if answer.submission_id != message.submission_id:
+            raise PeerError("forward", self.peer.vm, "answered another submission")
+        return answer
+
+    async def call_revision(self, service: str, deadline: float) -> int:
+        """Ask which revision of a service the peer has in force.
+
+        :raises PeerError: when no answer arrived.
+        """
+        self._calls += 1
+        answer = await self._call(self._calls, RevisionQuery(self._calls, service), deadline)
+        if not isinstance(answer, RevisionAnswer):
+            raise PeerError("query revision", self.peer.vm, "answered with another message")
+        return answer.revision
+
+    async def close(self) -> None:
+        """Close the link and wake all who wait for answers."""
+        if not self._closed.is_set():
+            self._closed.set()
+            for waiter in self._waiter_by_call.values():
+                waiter.set()
+            await self._frames.aclose()
+
+    async def _call(
+        self, call: int, message: Frame, deadline: float
+    ) -> ForwardAnswer | RevisionAnswer:
+        waiter = self._waiter_by_call[call] = anyio.Event()
+        try:
+            await self.send(message)
+            with anyio.move_on_at(deadline):
+                await waiter.wait()
+            answer = self._answer_by_call.pop(call, None)
+        finally:
+            del self._waiter_by_call[call]
+        if answer is None:
+            reason = "the link broke" if self.is_closed else "no answer in time"
+            raise PeerError("call", self.peer.vm, reason)
+        return answer
+
+    def _take_answer(self, answer: ForwardAnswer | RevisionAnswer) -> None:
+        # An answer after the wait has ended has no waiter and is dropped.
+        waiter = self._waiter_by_call.get(answer.call)
+        if waiter is not None:
+            self._answer_by_call[answer.call] = answer
+            waiter.set()
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -0,0 +1,274 @@
+"""The links of this process: whom to dial, and which link leads where."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Iterator
+from functools import partial
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+from anyio.streams.tls import TLSStream
+
+from redwingport_entry.exceptions import PeerError
+from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.peers.framing import FrameStream
+from redwingport_entry.peers.handshake import accept_handshake, dial_handshake, make_hello
+from redwingport_entry.peers.link import LINK_ERRORS, Handler, PeerLink
+from redwingport_entry.peers.tls import client_context, server_context
+from redwingport_entry.settings import Settings
+from redwingport_entry.supervisor import Supervisor
+from redwingport_messages.frames import Frame, Heartbeat, Hello
+from redwingport_messages.vms import VmInfo, VmKind
+from redwingport_policy.subset import rendezvous_subset
+from redwingport_state.membership import MembershipView
+
+DIAL_INTERVAL_S = 0.25
+DIAL_TIMEOUT_S = 2.0
+LONGEST_BACKOFF_S = 4.0
+
+logger = logging.getLogger(ROOT)
+
+
+class PeerMesh:
+    """Open and accept links, and keep them alive.
+
+    Inside the failure domain every process links to every other; to each other failure domain
+    it links to a few, chosen by rendezvous hashing.
+
+    :param task_group: owner of the link tasks.
+    :param settings: settings of the process.
+    :param incarnation: incarnation of this process.
+    :param membership: the view of all VMs.
+    :param metrics: metrics of the process.
+    :param handle: called with each message from a peer.
+    """
+
+    def __init__(
+        self,
+        task_group: TaskGroup,
+        settings: Settings,
+        incarnation: str,
+        membership: MembershipView,
+        metrics: Metrics,
+        handle: Handler,
+    ) -> None:
+        self.link_by_vm: dict[str, PeerLink] = {}
+        self.synced_vms: set[str] = set()
+        self.own_name = settings.entry.name
+        self.vms_version = 0
+        self.queued = 0
+        self.leaving = False
+        self._settings = settings
+        self._incarnation = incarnation
+        self._membership = membership
+        self._metrics = metrics
+        self._handle = handle
+        self._supervisor = Supervisor(task_group, "peers")
+        self._secret = settings.peers.secret.get_secret_value().encode()
+        self._dialing: set[str] = set()
+        self._failures: dict[str, int] = defaultdict(int)
+        self._retry_at: dict[str, float] = {}
+
+    def links(self, domain: str | None = None) -> Iterator[PeerLink]:
+        """Yield the open links, or those into one failure domain."""
+        for link in list(self.link_by_vm.values()):
+            if not link.is_closed and (domain is None or link.peer.domain == domain):
+                yield link
+
+    async def broadcast(self, message: Frame, skip: str = "") -> None:
+        """Send a message on every link but one.
+
+        :param skip: VM that is left out, because the message came from there.
+        """
+        async with anyio.create_task_group() as task_group:
+            for link in self.links():
+                if link.peer.vm != skip:
+                    task_group.start_soon(self._send_quietly, link, message)
+
+    async def listen(self) -> None:
+        """Accept links."""
+        own = self._settings.entry
+        listener = await anyio.create_tcp_listener(
+            local_host=own.peer_host, local_port=own.peer_port, reuse_port=False
+        )
+        async with listener:
+            await listener.serve(self._accept)
+
+    async def dial(self) -> None:
+        """Open the links that are wanted and missing, on a timer."""
+        while True:
+            now = anyio.current_time()
+            for name, host, port in self._wanted():
+                if name not in self._dialing and self._retry_at.get(name, 0.0) <= now:
+                    self._dialing.add(name)
+                    self._supervisor.start(f"dial-{name}", partial(self._dial, name, host, port))
+            await anyio.sleep(DIAL_INTERVAL_S)
+
+    async def beat(self) -> None:
+        """Send heartbeats on links on which nothing else was sent lately."""
+        peers = self._settings.peers
+        while True:
+            await anyio.sleep(peers.heartbeat_s / 4)
+            now = anyio.current_time()
+            for link in self.links():
+                near = link.peer.domain == self._settings.entry.domain
+                interval_s = peers.heartbeat_s if near else peers.remote_heartbeat_s
+                if now - link.sent_at >= interval_s:
+                    await self._send_quietly(link, self.heartbeat())
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat of this process."""
+        weight = self._settings.entry.weight
+        return Heartbeat(weight, self.queued, self.leaving, self.vms_version)
+
+    async def reach(self, vm: str) -> PeerLink:
+        """Return a link to a VM, opening one if there is none.
+
+        :raises PeerError: when the VM is unknown or does not answer.
+        """
+        link = self.link_by_vm.get(vm)
+        if link is not None and not link.is_closed:
+            return link
+        info = self._membership.info_by_vm.get(vm)
+        if info is None or info.kind is not VmKind.ENTRY:
+            raise PeerError("reach peer", vm, "the VM is not listed")
+        if vm not in self._dialing:
+            self._dialing.add(vm)
+            self._supervisor.start(
+                f"reach-{vm}", lambda: self._dial(vm, info.host, info.peer_port)
+            )
+        with anyio.move_on_after(DIAL_TIMEOUT_S):
+            while vm in self._dialing:
+                link = self.link_by_vm.get(vm)
+                if link is not None and not link.is_closed:
+                    return link
+                await anyio.sleep(0.01)
+        raise PeerError("reach peer", vm, "no connection")
+
+    def _wanted(self) -> Iterator[tuple[str, str, int]]:
+        own = self._settings.entry
+        infos_by_domain: dict[str, list[VmInfo]] = defaultdict(list)
+        for info in self._membership.of_kind(VmKind.ENTRY):
+            if info.vm != own.name and info.peer_port:
+                infos_by_domain[info.domain].append(info)
+        if not self._membership.vm_list.vms:
+            for seed in self._settings.peers.seeds:
+                host, _, port = seed.rpartition(":")
+                if not any(link for link in self.links()):
+                    yield seed, host, int(port)
+        for domain, infos in infos_by_domain.items():
+            names = [info.vm for info in infos]
+            if domain != own.domain:
+                size = self._settings.peers.links_per_domain
+                names = rendezvous_subset(own.name, names, size)
+            for info in infos:
+                link = self.link_by_vm.get(info.vm)
+                if info.vm in names and (link is None or link.is_closed):
+                    yield info.vm, info.host, info.peer_port
+
+    async def _dial(self, name: str, host: str, port: int) -> None:
+        """Open one link and serve it; a failure delays the next try."""
+        try:
+            with anyio.fail_after(DIAL_TIMEOUT_S):
+                stream = await self._connect(host, port)
+            frames = FrameStream(stream, name)
+            peer = await self._greet(frames, dialed=True)
+        except (*LINK_ERRORS, TimeoutError, PeerError) as error:
+            self._failures[name] += 1
+            delay_s = min(DIAL_INTERVAL_S * 2 ** self._failures[name], LONGEST_BACKOFF_S)
+            self._retry_at[name] = anyio.current_time() + delay_s
+            self._dialing.discard(name)
+            reason = f"{type(error).__name__}: {error}"
+            log_event(logger, logging.WARNING, "dial-failed", peer=name, error=reason)
+            return
+        self._failures.pop(name, None)
+        try:
+            await self._serve(frames, peer, dialed=True, dial_name=name)
+        finally:
+            self._dialing.discard(name)
+
+    async def _connect(self, host: str, port: int) -> ByteStream:
+        stream: ByteStream = await anyio.connect_tcp(host, port)
+        context = client_context(self._settings.peers)
+        if context is not None:
+            stream = await TLSStream.wrap(
+                stream, server_side=False, ssl_context=context, standard_compatible=False
+            )
+        return stream
+
+    async def _accept(self, stream: ByteStream) -> None:
+        try:
+            context = server_context(self._settings.peers)
+            if context is not None:
+                with anyio.fail_after(DIAL_TIMEOUT_S):
+                    stream = await TLSStream.wrap(
+                        stream, server_side=True, ssl_context=context, standard_compatible=False
+                    )
+            frames = FrameStream(stream, "unknown")
+            peer = await self._greet(frames, dialed=False)
+        except (*LINK_ERRORS, TimeoutError, PeerError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            log_event(logger, logging.WARNING, "peer-refused", error=reason)
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await stream.aclose()
+            return
+        await self._serve(frames, peer, dialed=False)
+
+    async def _greet(self, frames: FrameStream, dialed: bool) -> Hello:
+        own = self._settings.entry
+        hello = make_hello(own.name, own.domain, self._incarnation)
+        shake = dial_handshake if dialed else accept_handshake
+        peer = await shake(frames, hello, self._secret)
+        if peer.incarnation == self._incarnation:
+            raise PeerError("handshake", peer.vm, "is this process itself")
+        frames.peer = peer.vm
+        return peer
+
+    async def _serve(
+        self, frames: FrameStream, peer: Hello, dialed: bool, dial_name: str = ""
+    ) -> None:
+        link = PeerLink(frames, peer, dialed, self._settings.peers.timeout_s, self._metrics)
+        if not await self._register(link):
+            await link.close()
+            return
+        self._dialing.discard(dial_name)
+        log_event(
+            logger,
+            logging.INFO,
+            "peer-linked",
+            peer=peer.vm,
+            incarnation=peer.incarnation,
+            dialed=dialed,
+        )
+        try:
+            await self._send_quietly(link, self.heartbeat())
+            await link.serve(self._handle)
+        finally:
+            await link.close()
+            if self.link_by_vm.get(peer.vm) is link:
+                del self.link_by_vm[peer.vm]
+            self._metrics.peers.set(len(self.link_by_vm))
+            log_event(logger, logging.INFO, "peer-lost", peer=peer.vm)
+
+    async def _register(self, link: PeerLink) -> bool:
+        """Make a link the one that leads to its VM, unless a better one is open."""
+        vm = link.peer.vm
+        self._membership.incarnation_by_vm[vm] = link.peer.incarnation
+        old = self.link_by_vm.get(vm)
+        if old is not None and not old.is_closed:
+            # Both sides may dial at once; both keep the link that the smaller name dialed.
+            preferred = link.dialed == (self._settings.entry.name < vm)
+            if old.peer.incarnation == link.peer.incarnation and not preferred:
+                return False
+            self.link_by_vm[vm] = link
+            await old.close()
+        self.link_by_vm[vm] = link
+        self._metrics.peers.set(len(self.link_by_vm))
+        return True
+
+    async def _send_quietly(self, link: PeerLink, message: Frame) -> None:
+        try:
+            await link.send(message)
+        except PeerError as error:
+            log_event(logger, logging.INFO, "send-failed", peer=link.peer.vm, error=error.reason)
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/platform.py
@@ -0,0 +1,184 @@
+"""Client of the platform's table and VM list."""
+
+import json
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import anyio
+import httpcore
+from anyio.abc import TaskGroup
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from redwingport_entry.exceptions import PlatformError
+from redwingport_entry.gateways.connections import (
+    NotWrittenError,
+    ServerConnections,
+    read_body,
+    send_request,
+)
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.settings import PlatformSettings
+from redwingport_messages.vms import VmList
+
+CONNECTIONS = 4
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+M = TypeVar("M", bound=BaseModel)
+
+
+class TableOp(BaseModel):
+    """Describe one operation of a transaction.
+
+    :param op: ``insert``, ``compare_and_set`` or ``delete``.
+    :param key: key of the row.
+    :param value: new value.
+    :param revision: revision that the row must have.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    op: str
+    key: str
+    value: str = ""
+    revision: int = 0
+
+
+class TableResult(BaseModel):
+    """Describe what an operation did.
+
+    :param key: key of the row.
+    :param applied: whether the operation took effect.
+    :param revision: revision of the row now, 0 when there is none.
+    :param value: value of the row now.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    key: str
+    applied: bool
+    revision: int
+    value: str | None = None
+
+
+class _TransactionAnswer(BaseModel):
+    results: list[TableResult]
+
+
+class _IndexAnswer(BaseModel):
+    rows: list[tuple[str, int]]
+
+
+class _RowAnswer(BaseModel):
+    key: str
+    revision: int
+    value: str
+
+
+class PlatformClient:
+    """Read and change what the platform keeps.
+
+    Every method raises :class:`PlatformError` when no usable answer arrived; a transaction may
+    then have taken effect or not.
+
+    :param task_group: owner of the connection tasks.
+    :param settings: section ``[platform]``.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self, task_group: TaskGroup, settings: PlatformSettings, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._base = httpcore.URL(settings.url)
+        host = self._base.host.decode()
+        port = self._base.port or 80
+        self._connections = ServerConnections(task_group, host, port, CONNECTIONS)
+
+    async def transact(self, ops: list[TableOp]) -> list[TableResult]:
+        """Run a transaction.
+
+        :param ops: the operations.
+        :returns: one result per operation, in order.
+        """
+        body = {"ops": [op.model_dump() for op in ops]}
+        answer = await self._call("write table", "POST", "/table/transaction", body)
+        results = self._parse(_TransactionAnswer, answer, "write table").results
+        if [result.key for result in results] != [op.key for op in ops]:
+            raise PlatformError("write table", self._connections.peer, "results do not match")
+        return results
+
+    async def read_row(self, key: str) -> tuple[int, str] | None:
+        """Return the revision and the value of a row, None when there is none."""
+        path = f"/table/rows/{quote(key, safe='/')}"
+        answer = await self._call("read table", "GET", path, None, missing_ok=True)
+        if answer is None:
+            return None
+        row = self._parse(_RowAnswer, answer, "read table")
+        return row.revision, row.value
+
+    async def read_index(self, prefix: str) -> list[tuple[str, int]]:
+        """Return the keys with a prefix and their revisions."""
+        path = f"/table/index?prefix={quote(prefix, safe='')}"
+        answer = await self._call("read index", "GET", path, None)
+        return self._parse(_IndexAnswer, answer, "read index").rows
+
+    async def read_vms(self) -> VmList:
+        """Return the list of VMs."""
+        answer = await self._call("read VM list", "GET", "/vms", None)
+        return self._parse(VmList, answer, "read VM list")
+
+    async def _call(
+        self, step: str, method: str, path: str, body: Any, missing_ok: bool = False
+    ) -> bytes | None:
+        content = b"" if body is None else json.dumps(body).encode()
+        done = anyio.Event()
+        status, answer, reason = 0, b"", "no answer in time"
+        self._metrics.messages.labels("platform").inc()
+
+        async def exchange(connection: httpcore.AsyncHTTPConnection) -> bool:
+            nonlocal status, answer, reason
+            url = httpcore.URL(
+                scheme="http", host=self._base.host, port=self._base.port, target=path
+            )
+            headers = [(b"content-type", b"application/json")]
+            try:
+                with anyio.fail_after(self._settings.timeout_s):
+                    timeout_s = self._settings.timeout_s
+                    response = await send_request(
+                        connection, method, url, headers, content, timeout_s
+                    )
+                    answer = await read_body(response, MAX_ANSWER_BYTES) or b""
+                    await response.aclose()
+                    status = response.status
+            except (
+                NotWrittenError,
+                httpcore.NetworkError,
+                httpcore.TimeoutException,
+                httpcore.ProtocolError,
+                TimeoutError,
+            ) as error:
+                reason = f"{type(error).__name__}: {error}"
+                return False
+            finally:
+                done.set()
+            return True
+
+        self._connections.submit(exchange)
+        with anyio.move_on_after(self._settings.timeout_s * 2):
+            await done.wait()
+        if status == 404 and missing_ok:
+            return None
+        if status != 200:
+            self._metrics.platform_errors.labels(step).inc()
+            reason = f"status {status}" if status else reason
+            raise PlatformError(step, self._connections.peer, reason)
+        return answer
+
+    def _parse(self, model: type[M], answer: bytes | None, step: str) -> M:
+        try:
+            return model.model_validate_json(answer or b"")
+        except ValidationError as error:
+            reason = f"answer does not validate: {error.error_count()} errors"
+            raise PlatformError(step, self._connections.peer, reason) from error
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/settings.py
@@ -0,0 +1,248 @@
+"""Settings of the entry process: an INI file checked as a whole."""
+
+import configparser
+import os
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    SecretStr,
+    StringConstraints,
+    ValidationError,
+    model_validator,
+)
+from result import Err, Ok, Result
+
+from redwingport_messages.documents import Name
+from redwingport_messages.vms import IpNumber
+from redwingport_policy.backends import CHOOSER_BY_NAME
+
+MIN_SECRET_CHARACTERS = 16
+OPERATOR_PREFIX = "operator "
+
+
+def _split(value: object) -> object:
+    if isinstance(value, str):
+        return tuple(part.strip() for part in value.split(",") if part.strip())
+    return value
+
+
+Words = Annotated[tuple[str, ...], BeforeValidator(_split)]
+Port = Annotated[int, Field(ge=1, le=65535)]
+Sha256 = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class EntrySettings(_Section):
+    """Name this process and its addresses.
+
+    :param name: name of this VM, as the platform lists it.
+    :param domain: failure domain of this VM.
+    :param region: region of this VM.
+    :param weight: size of this VM relative to the others.
+    :param http_host: IP number for callers and operators.
+    :param http_port: port for callers and operators.
+    :param peer_host: IP number for peers.
+    :param peer_port: port for peers.
+    """
+
+    name: Name
+    domain: Name
+    region: Name = "region"
+    weight: float = Field(default=1.0, gt=0, le=1000)
+    http_host: IpNumber
+    http_port: Port
+    peer_host: IpNumber
+    peer_port: Port
+
+
+class PlatformSettings(_Section):
+    """Tell how the platform is reached.
+
+    :param url: base address, ``http://IP:PORT``.
+    :param poll_s: interval between reads of the document index, in seconds.
+    :param list_poll_s: interval between reads of the VM list, in seconds.
+    :param timeout_s: longest wait for an answer, in seconds.
+    """
+
+    url: str = Field(pattern=r"^http://[0-9.:\[\]a-f]+:[0-9]+$")
+    poll_s: float = Field(default=5.0, gt=0, le=60)
+    list_poll_s: float = Field(default=2.0, gt=0, le=60)
+    timeout_s: float = Field(default=2.0, gt=0, le=60)
+
+
+class PeerSettings(_Section):
+    """Tell how peers are reached and trusted.
+
+    :param secret: secret shared by all entry processes.
+    :param seeds: peer addresses ``IP:PORT`` to try before a VM list was received.
+    :param links_per_domain: links to each other failure domain.
+    :param heartbeat_s: interval inside the failure domain, in seconds.
+    :param remote_heartbeat_s: interval between failure domains, in seconds.
+    :param timeout_s: silence after which a link is closed, in seconds.
+    :param tls_certificate: file with this process's certificate; empty for no TLS.
+    :param tls_key: file with its private key.
+    :param tls_ca: file with the authority that signed the peers' certificates.
+    """
+
+    secret: SecretStr = Field(min_length=MIN_SECRET_CHARACTERS)
+    seeds: Words = ()
+    links_per_domain: int = Field(default=2, ge=1, le=16)
+    heartbeat_s: float = Field(default=1.0, gt=0, le=60)
+    remote_heartbeat_s: float = Field(default=4.0, gt=0, le=60)
+    timeout_s: float = Field(default=10.0, gt=0, le=300)
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_ca: str = ""
+
+    @model_validator(mode="after")
+    def _check_tls(self) -> "PeerSettings":
+        files = (self.tls_certificate, self.tls_key, self.tls_ca)
+        if any(files) and not all(files):
+            raise ValueError("tls_certificate, tls_key and tls_ca go together")
+        return self
+
+
+class LimitSettings(_Section):
+    """Set the limits of this process.
+
+    :param max_body_bytes: largest body of a caller, in bytes.
+    :param id_lifetime_s: how long a submission id is valid, in seconds.
+    :param answer_bytes: bytes of stored answers.
+    :param subset_size: workers of the own failure domain, and of others, that are used.
+    :param queue_limit: most tasks waiting in this process.
+    :param drain_notice_s: time between the notice and the end of listening, in seconds.
+    :param drain_timeout_s: longest wait for requests in progress at shutdown, in seconds.
+    """
+
+    max_body_bytes: int = Field(default=4 * 1024 * 1024, ge=1024, le=12 * 1024 * 1024)
+    id_lifetime_s: float = Field(default=600.0, gt=0, le=86_400)
+    answer_bytes: int = Field(default=16 * 1024 * 1024, ge=0)
+    subset_size: int = Field(default=64, ge=1, le=10_000)
+    queue_limit: int = Field(default=20_000, ge=1)
+    drain_notice_s: float = Field(default=1.0, ge=0, le=60)
+    drain_timeout_s: float = Field(default=120.0, ge=0, le=3600)
+
+
+class PolicySettings(_Section):
+    """Select the variants of the policy.
+
+    :param chooser: server choice, one of the names in ``redwingport_policy.backends``.
+    :param seed: seed of random choices; 0 for a random one.
+    """
+
+    chooser: str = "completion-time"
+    seed: int = Field(default=0, ge=0)
+
+    @model_validator(mode="after")
+    def _check_chooser(self) -> "PolicySettings":
+        if self.chooser not in CHOOSER_BY_NAME:
+            raise ValueError(f"chooser is one of {', '.join(sorted(CHOOSER_BY_NAME))}")
+        return self
+
+
+class LogSettings(_Section):
+    """Tell what is logged and where.
+
+    :param format: form of a line.
+    :param level: lowest level that is logged.
+    :param decisions: whether each routing and placement decision gets a line.
+    :param file: path of the log; empty for standard error.
+    """
+
+    format: Literal["json", "keyvalue"] = "keyvalue"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    decisions: bool = True
+    file: str = ""
+
+
+class OperatorSettings(_Section):
+    """Name what one operator may do.
+
+    :param token_sha256: SHA-256 of the operator's token, in hexadecimal digits.
+    :param teams: teams whose documents the operator may change; ``*`` for all.
+    """
+
+    token_sha256: Sha256
+    teams: Words
+
+
+class Settings(_Section):
+    """Hold all settings of an entry process.
+
+    :param entry: section ``[entry]``.
+    :param platform: section ``[platform]``.
+    :param peers: section ``[peers]``.
+    :param limits: section ``[limits]``.
+    :param policy: section ``[policy]``.
+    :param log: section ``[log]``.
+    :param quotas: section ``[quotas]``: share by team.
+    :param operators: sections ``[operator NAME]``, by name.
+    """
+
+    entry: EntrySettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    limits: LimitSettings = LimitSettings()
+    policy: PolicySettings = PolicySettings()
+    log: LogSettings = LogSettings()
+    quotas: dict[Name, Annotated[float, Field(gt=0, le=1e6)]] = Field(default_factory=dict)
+    operators: dict[str, OperatorSettings] = Field(default_factory=dict)
+
+
+def load_settings(path: str | os.PathLike[str]) -> Result[Settings, tuple[str, ...]]:
+    """Read and check a settings file.
+
+    :param path: the INI file.
+    :returns: the settings, or one line per error with section, key and what is allowed.
+    """
+    parser = configparser.ConfigParser(interpolation=None, delimiters=("=",))
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        return Err((f"{path}: {' '.join(str(error).split())}",))
+    return check_settings({name: dict(parser[name]) for name in parser.sections()})
+
+
+def check_settings(sections: dict[str, dict[str, str]]) -> Result[Settings, tuple[str, ...]]:
+    """Check the sections of a settings file.
+
+    :param sections: keys and values by section name.
+    :returns: the settings, or one line per error.
+    """
+    plain = {k: v for k, v in sections.items() if not k.startswith(OPERATOR_PREFIX)}
+    operators = {
+        name.removeprefix(OPERATOR_PREFIX): section
+        for name, section in sections.items()
+        if name.startswith(OPERATOR_PREFIX)
+    }
+    try:
+        if "operators" in plain:
+            return Err(("[operators]: unknown section; name operators as [operator NAME]",))
+        return Ok(Settings.model_validate({**plain, "operators": operators}))
+    except ValidationError as error:
+        return Err(tuple(_error_line(item) for item in error.errors(include_url=False)))
+
+
+def _error_line(item: object) -> str:
+    """Describe one error without its input, which may be a secret."""
+    assert isinstance(item, dict)
+    place = [str(part) for part in item["loc"]]
+    section = place[0]
+    if section == "operators" and len(place) > 1:
+        section = f"operator {place[1]}"
+        place = place[1:]
+    key = f" {place[1]}" if len(place) > 1 else ""
+    message = str(item["msg"])
+    if item["type"] == "extra_forbidden":
+        message = "unknown key" if key else "unknown section"
+    elif item["type"] == "missing":
+        message = "missing key" if key else "missing section"
+    return f"[{section}]{key}: {message}"
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/submissions.py
@@ -0,0 +1,200 @@
+"""Submissions: the owner starts or answers them, other processes forward them."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from redwingport_entry.keys import KeyRecords
+from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.runners.jobs import JobRunner
+from redwingport_entry.runners.requests import RequestRunner
+from redwingport_messages.ids import SubmissionId, parse_submission_id
+from redwingport_messages.outcomes import (
+    Answer,
+    answer_of_problem,
+    failed,
+    not_run,
+    outcome_unknown,
+)
+from redwingport_messages.submissions import Submission
+from redwingport_state.documents import DocumentStore
+from redwingport_state.handover import TakenRecords
+from redwingport_state.submissions import Attached, Record, Started, SubmissionTable
+
+Forwarder = Callable[[str, SubmissionId, Submission], Awaitable[Answer]]
+EXPIRE_INTERVAL_S = 1.0
+
+logger = logging.getLogger(ROOT)
+
+
+class Submissions:
+    """Take submissions from callers and peers.
+
+    A run is owned by the task group of this object, not by the caller's connection, so that its
+    answer is stored even when the caller has gone.
+
+    :param task_group: owner of the runs.
+    :param table: submissions of this incarnation.
+    :param taken: records of ended incarnations.
+    :param keys: key records.
+    :param documents: service documents in force.
+    :param jobs: runner of jobs.
+    :param request_runner: returns the runner of a service's requests.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        task_group: TaskGroup,
+        table: SubmissionTable,
+        taken: TakenRecords,
+        keys: KeyRecords,
+        documents: DocumentStore,
+        jobs: JobRunner,
+        request_runner: Callable[[str], RequestRunner],
+        metrics: Metrics,
+    ) -> None:
+        self.table = table
+        self.taken = taken
+        self._task_group = task_group
+        self._keys = keys
+        self._documents = documents
+        self._jobs = jobs
+        self._request_runner = request_runner
+        self._metrics = metrics
+        self.forward: Forwarder = _no_peers
+
+    async def submit(self, submission: Submission, id_text: str, key: str) -> tuple[str, Answer]:
+        """Take a submission from a caller.
+
+        :param submission: the job or request.
+        :param id_text: submission id given by the caller, or an empty string.
+        :param key: key given by the caller, or an empty string.
+        :returns: the submission id, empty when there is none, and the answer.
+        """
+        resolved = await self._resolve(submission, id_text, key)
+        if isinstance(resolved, Err):
+            return id_text, resolved.err_value
+        submission_id = resolved.ok_value
+        if submission_id.incarnation == self.table.issuer.incarnation:
+            return str(submission_id), await self.submit_own(submission_id, submission)
+        return str(submission_id), await self.forward("submit", submission_id, submission)
+
+    async def submit_own(self, submission_id: SubmissionId, submission: Submission) -> Answer:
+        """Start, attach to or answer a submission that names this incarnation."""
+        begun = self.table.begin(submission_id, submission.fingerprint())
+        if isinstance(begun, Err):
+            return answer_of_problem(begun.err_value)
+        match begun.ok_value:
+            case Started(record):
+                self._task_group.start_soon(self._run, record, submission)
+            case Attached(record):
+                log_event(logger, logging.INFO, "attach", submission=str(submission_id))
+            case answered:
+                return answered.answer
+        return await self._wait(record, submission.deadline)
+
+    def answer_taken(self, submission_id: SubmissionId, fingerprint: str) -> Answer | None:
+        """Return the answer of an ended incarnation's submission, None when it is not known."""
+        found = self.taken.find(submission_id, fingerprint)
+        if isinstance(found, Err):
+            return answer_of_problem(found.err_value)
+        return found.ok_value
+
+    async def read(self, submission_id: SubmissionId, deadline: float) -> Answer | None:
+        """Return the stored answer of an own submission, None while there is none."""
+        found = self.table.find(submission_id)
+        if isinstance(found, Err):
+            return answer_of_problem(found.err_value)
+        record = found.ok_value
+        return None if record is None else record.answer
+
+    async def cancel(self, submission_id: SubmissionId, deadline: float) -> Answer:
+        """Cancel an own submission and return its answer."""
+        cancelled = self.table.cancel(submission_id)
+        if isinstance(cancelled, Err):
+            return answer_of_problem(cancelled.err_value)
+        return await self._wait(cancelled.ok_value, deadline)
+
+    async def expire(self) -> None:
+        """Forget old records on a timer."""
+        while True:
+            self.table.expire()
+            self.taken.expire()
+            await anyio.sleep(EXPIRE_INTERVAL_S)
+
+    async def _resolve(
+        self, submission: Submission, id_text: str, key: str
+    ) -> Result[SubmissionId, Answer]:
+        if key:
+            fingerprint = submission.fingerprint()
+            row = f"keys/{submission.service}/{key}"
+            own_id = self.table.issue()
+            resolved = await self._keys.resolve(row, own_id, fingerprint, submission.deadline)
+            return resolved.map_err(answer_of_problem)
+        if not id_text:
+            return Ok(self.table.issue())
+        parsed = parse_submission_id(id_text)
+        if isinstance(parsed, Err):
+            problem = not_run(400, "invalid-id", parsed.err_value, step="parse")
+            return Err(answer_of_problem(problem))
+        return Ok(parsed.ok_value)
+
+    async def _wait(self, record: Record, deadline: float) -> Answer:
+        # The run ends by its own deadline; the grace lets its answer arrive first.
+        with anyio.move_on_at(deadline + 1.0):
+            await record.done.wait()
+        if record.answer is not None:
+            return record.answer
+        problem = outcome_unknown(
+            "still-running",
+            "The submission is still running.",
+            step="wait",
+            retryable=True,
+            retry_after_s=1.0,
+        )
+        return answer_of_problem(problem)
+
+    async def _run(self, record: Record, submission: Submission) -> None:
+        started_at = anyio.current_time()
+        answer = answer_of_problem(failed("internal-error", "The run failed.", step="run"))
+        try:
+            answer = await self._run_document(record, submission)
+        except Exception as error:
+            log_event(
+                logger,
+                logging.ERROR,
+                "run-failed",
+                submission=str(record.submission_id),
+                error=f"{type(error).__name__}: {error}",
+            )
+        finally:
+            self.table.finish(record, answer)
+        service = submission.service if self._documents.get(submission.service) else "unknown"
+        self._metrics.submissions.labels(service, str(answer.outcome)).inc()
+        seconds = anyio.current_time() - started_at
+        self._metrics.submission_seconds.labels(service).observe(seconds)
+
+    async def _run_document(self, record: Record, submission: Submission) -> Answer:
+        document = self._documents.get(submission.service)
+        if document is None and not self._documents.from_platform:
+            detail = "This process has no service documents yet."
+            problem = not_run(503, "not-ready", detail, step="admission", retryable=True)
+            return answer_of_problem(problem)
+        if document is None:
+            detail = f"There is no service {submission.service}."
+            return answer_of_problem(not_run(404, "unknown-service", detail, step="admission"))
+        if not submission.operation:
+            return await self._jobs.run(record, submission, document)
+        return await self._request_runner(document.name).run(record, submission, document)
+
+
+async def _no_peers(kind: str, submission_id: SubmissionId, submission: Submission) -> Answer:
+    problem = outcome_unknown(
+        "owner-unreachable", "No peer is known.", step="forward", retryable=True
+    )
+    return answer_of_problem(problem)
--- /dev/null
+++ b/packages/entry/src/redwingport_entry/vms.py
@@ -0,0 +1,78 @@
+"""The VM list: polling, exchange with peers, and what depends on it."""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from pydantic import ValidationError
+
+from redwingport_entry.exceptions import PlatformError
+from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.platform import PlatformClient
+from redwingport_entry.settings import PlatformSettings
+from redwingport_messages.vms import VmList
+from redwingport_state.membership import MembershipView
+
+logger = logging.getLogger(ROOT)
+
+
+class VmWatcher:
+    """Keep the view of all VMs current.
+
+    :param platform: client of the platform.
+    :param view: the view.
+    :param settings: section ``[platform]``.
+    :param on_change: called after the view has changed.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        view: MembershipView,
+        settings: PlatformSettings,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.view = view
+        self._platform = platform
+        self._settings = settings
+        self._on_change = on_change
+
+    async def poll(self) -> None:
+        """Read the list on a timer."""
+        while True:
+            try:
+                self.take(await self._platform.read_vms(), "platform")
+            except PlatformError as error:
+                log_event(logger, logging.WARNING, "poll-failed", error=str(error))
+            await anyio.sleep(self._settings.list_poll_s)
+
+    def take(self, vm_list: VmList, source: str) -> bool:
+        """Take in a list.
+
+        :param source: who sent it, for the log.
+        :returns: whether it was newer.
+        """
+        if not self.view.apply(vm_list):
+            return False
+        log_event(
+            logger,
+            logging.INFO,
+            "vm-list",
+            version=vm_list.version,
+            vms=len(vm_list.vms),
+            source=source,
+        )
+        self._on_change()
+        return True
+
+    def take_text(self, text: str, source: str) -> bool:
+        """Take in the JSON text of a list; an empty or invalid text is ignored."""
+        if not text:
+            return False
+        try:
+            return self.take(VmList.model_validate_json(text), source)
+        except ValidationError as error:
+            log_event(
+                logger, logging.ERROR, "vm-list-invalid", source=source, errors=error.error_count()
+            )
+            return False
--- a/packages/policy/src/redwingport_policy/__init__.py
+++ b/packages/policy/src/redwingport_policy/__init__.py
@@ -1,1 +1,1 @@
-"""Package of redwingport."""
+"""Decisions: routing, placement, limits, quotas and retries."""
--- /dev/null
+++ b/packages/policy/src/redwingport_policy/backends/least_outstanding.py
@@ -0,0 +1,23 @@
+"""Choose the server with the fewest requests of this process."""
+
+import random
+from collections.abc import Sequence
+
+from redwingport_policy.base import Candidate, Work
+
+
+class LeastOutstandingChooser:
+    """Choose the server with the fewest requests in flight from this process.
+
+    :param rng: source of randomness, to break ties.
+    """
+
+    name = "least-outstanding"
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, candidates: Sequence[Candidate], work: Work) -> Candidate | None:
+        """Choose a server; see :class:`redwingport_policy.base.ServerChooser`."""
+        fewest = min(candidate.own_active for candidate in candidates)
+        return self._rng.choice([c for c in candidates if c.own_active == fewest])
--- /dev/null
+++ b/packages/policy/src/redwingport_policy/backends/random_choice.py
@@ -0,0 +1,22 @@
+"""Choose a server at random."""
+
+import random
+from collections.abc import Sequence
+
+from redwingport_policy.base import Candidate, Work
+
+
+class RandomChooser:
+    """Choose each server with equal probability.
+
+    :param rng: source of randomness.
+    """
+
+    name = "random"
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, candidates: Sequence[Candidate], work: Work) -> Candidate | None:
+        """Choose a server; see :class:`redwingport_policy.base.ServerChooser`."""
+        return self._rng.choice(candidates)
--- /dev/null
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -0,0 +1,78 @@
+"""Types shared by the parts of the policy."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+DEFAULT_RUN_S = 0.2
+
+
+@dataclass(slots=True)
+class Candidate:
+    """Hold what one process knows about one backend server.
+
+    :param server_id: name of the VM.
+    :param domain: its failure domain.
+    :param local: whether that is the failure domain of this process.
+    :param slots: tasks the server runs at once.
+    :param own_active: tasks that this process has there.
+    :param other_active: estimate of the tasks that other processes have there.
+    :param held_slots: idle slots leased to this process (workers only).
+    :param slowness: run time here over run time at the mean server, learned.
+    :param load_at: monotonic time of the last load facts.
+    :param start_by_task: monotonic start time of each task of this process.
+    :param leaving: whether the server takes no new work.
+    :param ejected_until: monotonic time until which it gets no work.
+    """
+
+    server_id: str
+    domain: str
+    local: bool
+    slots: int
+    rack: str = ""
+    cpus: float = 0.0
+    memory_mb: float = 0.0
+    own_active: int = 0
+    other_active: float = 0.0
+    held_slots: int = 0
+    slowness: float = 1.0
+    load_at: float = 0.0
+    start_by_task: dict[object, float] = field(default_factory=dict)
+    leaving: bool = False
+    ejected_until: float = 0.0
+
+    @property
+    def free_slots(self) -> float:
+        """Return the estimate of free slots; negative when requests queue there."""
+        return self.slots - self.own_active - self.other_active
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Describe what has to be placed.
+
+    :param run_s: expected run time at the mean server, in seconds.
+    :param queued: tasks that wait in this process, this one included.
+    :param now: monotonic time, in seconds.
+    :param may_queue: whether the server may hold the work beyond its slots.
+    """
+
+    run_s: float
+    queued: int
+    now: float
+    may_queue: bool
+
+
+class ServerChooser(Protocol):
+    """Choose a backend server for one piece of work."""
+
+    name: str
+
+    def choose(self, candidates: Sequence[Candidate], work: Work) -> Candidate | None:
+        """Choose one of the candidates.
+
+        :param candidates: servers that may take new work; never empty.
+        :param work: what has to be placed.
+        :returns: the server, or None to keep the work in the queue.
+        """
+        ...
--- /dev/null
+++ b/packages/policy/src/redwingport_policy/estimates.py
@@ -0,0 +1,47 @@
+"""Estimates learned from answers: run times of services and speeds of servers."""
+
+from redwingport_messages.backend import UsageReport
+from redwingport_policy.base import Candidate
+
+RATIO_GAIN = 0.1
+SLOWNESS_GAIN = 0.15
+MIN_SLOWNESS = 0.05
+MAX_SLOWNESS = 50.0
+
+
+class RunTimes:
+    """Learn how far declared run times are off, per service."""
+
+    def __init__(self) -> None:
+        self._ratio_by_service: dict[str, float] = {}
+
+    def expected_s(self, service: str, declared_ms: float) -> float:
+        """Return the expected run time at the mean server, in seconds."""
+        return declared_ms / 1000.0 * self._ratio_by_service.get(service, 1.0)
+
+    def learn(self, service: str, declared_ms: float, run_ms: float) -> None:
+        """Take in one measured run.
+
+        :param declared_ms: declared run time, in milliseconds.
+        :param run_ms: measured run time over the server's slowness, in milliseconds.
+        """
+        ratio = run_ms / max(declared_ms, 0.001)
+        old = self._ratio_by_service.get(service)
+        new = ratio if old is None else old + RATIO_GAIN * (ratio - old)
+        self._ratio_by_service[service] = max(new, 0.001)
+
+    def learn_usage(self, report: UsageReport) -> None:
+        """Take in a usage report that came with a later answer."""
+        self.learn(report.service, report.declared_ms, report.run_ms)
+
+
+def learn_slowness(candidate: Candidate, expected_s: float, run_s: float) -> None:
+    """Move a server's slowness towards the one just measured.
+
+    :param expected_s: expected run time at the mean server, in seconds.
+    :param run_s: measured run time, in seconds.
+    """
+    if expected_s <= 0:
+        return
+    measured = min(max(run_s / expected_s, MIN_SLOWNESS), MAX_SLOWNESS)
+    candidate.slowness += SLOWNESS_GAIN * (measured - candidate.slowness)
--- a/packages/state/src/redwingport_state/__init__.py
+++ b/packages/state/src/redwingport_state/__init__.py
@@ -1,1 +1,1 @@
-"""Package of redwingport."""
+"""State of an entry process: submissions, service documents, VMs."""
--- /dev/null
+++ b/packages/state/src/redwingport_state/handover.py
@@ -0,0 +1,81 @@
+"""Records taken over from incarnations that have shut down."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from redwingport_messages.ids import SubmissionId
+from redwingport_messages.outcomes import Answer, Problem
+from redwingport_state.clock import Clock, monotonic
+from redwingport_state.submissions import reused_id
+
+
+@dataclass(frozen=True, slots=True)
+class TakenRecord:
+    """Hold one record of an ended incarnation.
+
+    :param fingerprint: digest of the submission.
+    :param answer: its answer.
+    :param forget_at: monotonic time after which it may go.
+    """
+
+    fingerprint: str
+    answer: Answer
+    forget_at: float
+
+
+class TakenRecords:
+    """Hold finished records of ended incarnations, which no longer change.
+
+    :param lifetime_s: how long a record is held, in seconds.
+    :param max_bytes: most bytes of answers; the oldest go first.
+    :param clock: monotonic clock.
+    """
+
+    def __init__(self, lifetime_s: float, max_bytes: int, clock: Clock = monotonic) -> None:
+        self.record_by_id: OrderedDict[str, TakenRecord] = OrderedDict()
+        self._lifetime_s = lifetime_s
+        self._max_bytes = max_bytes
+        self._bytes = 0
+        self._clock = clock
+
+    def take(self, submission_id: str, fingerprint: str, answer: Answer) -> None:
+        """Store one record.
+
+        A repeated record changes nothing. An answer that exceeds the budget alone is not
+        stored, as it would push out all others and then itself.
+        """
+        if submission_id in self.record_by_id or len(answer.body) > self._max_bytes:
+            return
+        forget_at = self._clock() + self._lifetime_s
+        self.record_by_id[submission_id] = TakenRecord(fingerprint, answer, forget_at)
+        self._bytes += len(answer.body)
+        while self._bytes > self._max_bytes:
+            self._drop_oldest()
+
+    def find(
+        self, submission_id: SubmissionId, fingerprint: str
+    ) -> Result[Answer | None, Problem]:
+        """Look up the answer to a submission.
+
+        :param fingerprint: digest of the resubmission; empty to skip the check.
+        :returns: the answer, None when there is no record, or the refusal of other content.
+        """
+        record = self.record_by_id.get(str(submission_id))
+        if record is None:
+            return Ok(None)
+        # Ids that were cancelled before they were used come without a fingerprint.
+        if fingerprint and record.fingerprint not in ("", fingerprint):
+            return Err(reused_id())
+        return Ok(record.answer)
+
+    def expire(self) -> None:
+        """Forget records whose time is over."""
+        now = self._clock()
+        while self.record_by_id and next(iter(self.record_by_id.values())).forget_at <= now:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, record = self.record_by_id.popitem(last=False)
+        self._bytes -= len(record.answer.body)
