--- a/packages/entry/src/redwingport_entry/gateways/executors.py
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -133,18 +133,13 @@
         now = self.clock()
         while (head := self.queue.peek()) is not None:
             _, waiter = head
-            views = [
-                s.view for s in self.candidates(now) if s.view.own_active < s.connections.limit
-            ]
-            if not views:
-                return
-            work = Work(waiter.run_s, self.queue.length, now, True)
-            chosen = self.chooser.choose(views, work)
-            if chosen is None:
+            views = [s.view for s in self.usable(now) if s.view.own_active < s.connections.limit]
+            server = self.choose(views, Work(waiter.run_s, self.queue.length, now, True))
+            if server is None:
                 return
             self.queue.take(waiter)
-            chosen.own_active += 1
-            waiter.server = self.server_by_id[chosen.server_id]
+            server.view.own_active += 1
+            waiter.server = server
             waiter.chosen.set()
 
     async def exchange(self, server: Server, attempt: Attempt) -> Answer | NotSent | Lost:
--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -14,7 +14,7 @@
 from redwingport_entry.settings import Settings
 from redwingport_messages.vms import VmInfo
 from redwingport_policy.backends import CHOOSER_BY_NAME
-from redwingport_policy.base import Candidate
+from redwingport_policy.base import Candidate, Work
 from redwingport_policy.ejection import Ejector
 from redwingport_policy.subset import rendezvous_subset
 from redwingport_state.clock import Clock, monotonic
@@ -94,15 +94,27 @@
             log_event(logger, logging.INFO, "server-leaving", server=server.info.vm)
             self._on_leaving(server.info.vm)
 
-    def candidates(self, now: float) -> list[Server]:
-        """Return the servers that may get new work; the local ones if any has a free slot."""
-        usable = [server for server in self.server_by_id.values() if self._usable(server, now)]
-        for server in usable:
+    def usable(self, now: float) -> list[Server]:
+        """Return the servers that may get new work, with their load facts faded to now."""
+        servers = [server for server in self.server_by_id.values() if self._usable(server, now)]
+        for server in servers:
             self._refresh(server, now)
-        local = [s for s in usable if s.view.local]
-        if any(s.view.held_slots > 0 or s.view.free_slots >= 1 for s in local):
-            return local
-        return usable
+        return servers
+
+    def choose(self, views: list[Candidate], work: Work) -> Server | None:
+        """Choose a server: a local one while the failure domain has a free slot.
+
+        :param views: servers that may take the work.
+        :param work: what has to be placed.
+        :returns: the server, or None to keep the work in the queue.
+        """
+        local = [view for view in views if view.local]
+        if any(view.held_slots > 0 or view.free_slots >= 1 for view in local):
+            views = local
+        if not views:
+            return None
+        chosen = self.chooser.choose(views, work)
+        return None if chosen is None else self.server_by_id[chosen.server_id]
 
     def count_end(self, server: Server, succeeded: bool) -> None:
         """Count the end of a task for the ejection of failing servers."""
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -100,7 +100,7 @@
         """Start waiting tasks on free workers, in the order of the queue."""
         now = self.clock()
         batches: dict[tuple[str, str], list[QueuedTask]] = defaultdict(list)
-        servers = self.candidates(now)
+        servers = self.usable(now)
         while (head := self.queue.peek()) is not None:
             _, task = head
             server = self._choose(servers, task, now)
@@ -122,10 +122,7 @@
             and (not s.info.cpus or s.info.cpus >= body.cpus)
             and (not s.info.memory_mb or s.info.memory_mb >= body.memory_mb)
         ]
-        if not views:
-            return None
-        chosen = self.chooser.choose(views, Work(task.run_s, self.queue.length, now, False))
-        return None if chosen is None else self.server_by_id[chosen.server_id]
+        return self.choose(views, Work(task.run_s, self.queue.length, now, False))
 
     def _push(self, task: QueuedTask) -> None:
         task.ticket = self.queue.push(task)
--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -270,7 +270,10 @@
         for revision, text in message.documents:
             self._configuration.take(revision, text, link.peer.vm)
         self.mesh.synced_vms.add(link.peer.vm)
-        if message.from_platform:
+        own_domain = self.mesh.own_domain
+        linked = {peer.peer.vm for peer in self.mesh.links(own_domain)}
+        # One peer may have missed a revision that another has: all of them are asked.
+        if message.from_platform and linked <= self.mesh.synced_vms:
             self._store.from_platform = True
 
     def _take_handover(self, link: PeerLink, message: Handover) -> None:
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -56,6 +56,7 @@
         self.link_by_vm: dict[str, PeerLink] = {}
         self.synced_vms: set[str] = set()
         self.own_name = settings.entry.name
+        self.own_domain = settings.entry.domain
         self.vms_version = 0
         self.queued = 0
         self.leaving = False
@@ -136,7 +137,7 @@
         if vm not in self._dialing:
             self._dialing.add(vm)
             self._supervisor.start(
-                f"reach-{vm}", lambda: self._dial(vm, info.host, info.peer_port)
+                f"reach-{vm}", partial(self._dial, vm, info.host, info.peer_port)
             )
         with anyio.move_on_after(DIAL_TIMEOUT_S):
             while vm in self._dialing:
