--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,11 @@
 unit: setup
 	$(BIN)/pytest
 
-test: lint types unit
+docs-check: setup
+	$(BIN)/pytest packages/entry/tests/test_api_page.py
+	$(BIN)/redwingport settings-reference --check docs/settings.md
+
+test: lint types docs-check unit
 
 clean:
 	rm -rf .venv
--- /dev/null
+++ b/packages/entry/tests/test_settings.py
@@ -0,0 +1,62 @@
+"""Guard against settings files that are refused one error at a time, or that leak secrets."""
+
+from pathlib import Path
+
+from result import Err, Ok
+
+from redwingport_entry.settings import check_settings, load_settings
+
+VALID = {
+    "entry": {
+        "name": "entry-1",
+        "domain": "creamery",
+        "http_host": "127.0.0.1",
+        "http_port": "8001",
+        "peer_host": "127.0.0.1",
+        "peer_port": "9001",
+    },
+    "platform": {"url": "http://127.0.0.1:8000"},
+    "peers": {"secret": "0123456789abcdef"},
+}
+
+
+def test_valid_sections_give_settings() -> None:
+    checked = check_settings(VALID)
+    assert isinstance(checked, Ok)
+    assert checked.ok_value.entry.http_port == 8001
+
+
+def test_all_errors_are_listed_at_once() -> None:
+    sections = {name: dict(section) for name, section in VALID.items()}
+    sections["entry"]["http_port"] = "99999"
+    sections["entry"]["colour"] = "red"
+    del sections["entry"]["domain"]
+    sections["peers"]["secret"] = "short"
+    sections["policy"] = {"chooser": "best"}
+    sections["operator ann"] = {"token_sha256": "xyz", "teams": "dairy"}
+    sections["extra"] = {}
+    checked = check_settings(sections)
+    assert isinstance(checked, Err)
+    places = {line.split(":")[0] for line in checked.err_value}
+    assert places == {
+        "[entry] http_port",
+        "[entry] colour",
+        "[entry] domain",
+        "[peers] secret",
+        "[policy]",
+        "[operator ann] token_sha256",
+        "[extra]",
+    }
+
+
+def test_errors_and_settings_do_not_show_the_secret() -> None:
+    sections = {**VALID, "peers": {"secret": "too-short-key"}}
+    assert "too-short-key" not in repr(check_settings(sections))
+    assert "0123456789abcdef" not in repr(check_settings(VALID))
+
+
+def test_an_unreadable_file_is_one_error(tmp_path: Path) -> None:
+    path = tmp_path / "entry.ini"
+    path.write_text("not an ini file\n", encoding="utf-8")
+    assert isinstance(load_settings(path), Err)
+    assert isinstance(load_settings(tmp_path / "missing.ini"), Err)
