Add the command line of redwingport

Cause: operators and users had no way to submit work, to change service documents or to check settings without writing HTTP requests.

Each command is one module with its own help, example and exit codes.

Ruled out: repeating reads or submissions without an id at another entry process after something was sent; a connection kept open between requests, since a close at the moment of reuse cannot be told from a lost request; checking documents in the command line, since the entry process may be of another version; leaving out Redwingport-Timeout-Ms, since the entry process then ends every submission after 60 s.

--- a/packages/cli/src/redwingport_cli/__init__.py
+++ b/packages/cli/src/redwingport_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Package of redwingport."""
+"""Command line of redwingport for operators and users."""
--- /dev/null
+++ b/packages/cli/src/redwingport_cli/commands/__init__.py
@@ -0,0 +1,30 @@
+"""Commands of the command line, one module each."""
+
+from redwingport_cli.commands.base import Command, CommandGroup
+from redwingport_cli.commands.cancel import Cancel
+from redwingport_cli.commands.check_settings import CheckSettings
+from redwingport_cli.commands.drain import Drain
+from redwingport_cli.commands.entries import Entries
+from redwingport_cli.commands.jobs import JOBS
+from redwingport_cli.commands.request import Request
+from redwingport_cli.commands.servers import Servers
+from redwingport_cli.commands.services import SERVICES
+from redwingport_cli.commands.settings_reference import SettingsReference
+from redwingport_cli.commands.show import Show
+from redwingport_cli.commands.snapshot import SNAPSHOT
+from redwingport_cli.commands.submit import Submit
+
+COMMANDS: tuple[Command | CommandGroup, ...] = (
+    Submit(),
+    Request(),
+    Show(),
+    Cancel(),
+    SERVICES,
+    JOBS,
+    Servers(),
+    Entries(),
+    Drain(),
+    SNAPSHOT,
+    CheckSettings(),
+    SettingsReference(),
+)
--- /dev/null
+++ b/packages/cli/src/redwingport_cli/commands/request.py
@@ -0,0 +1,65 @@
+"""Command ``request``."""
+
+import argparse
+
+from redwingport_cli import arguments
+from redwingport_cli.client import Request as HttpRequest
+from redwingport_cli.commands.base import CHANGE_EXIT_CODES, CommandHelp, Context
+from redwingport_cli.commands.submit import send_and_show
+from redwingport_cli.exit_codes import ExitCode
+from redwingport_cli.files import read_input
+from redwingport_cli.submitting import (
+    ANSWER_GRACE_S,
+    add_identity_options,
+    add_timeout_option,
+    identity_headers,
+    submission_seconds,
+    timeout_header,
+)
+
+# The longest operation timeout that a service document allows is ten minutes.
+REQUEST_TIMEOUT_S = 600.0
+
+
+class Request:
+    """Send one request to an operation of a service."""
+
+    name = "request"
+    needs_entry = True
+    help = CommandHelp(
+        "send one request to an operation of a service",
+        "Send one request and write the body of its answer to standard output unchanged. "
+        "Without --id and --key, a request whose connection is lost is not sent again.",
+        "redwingport request --service booking --operation availability --body query.json",
+        CHANGE_EXIT_CODES,
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the service, the operation, the body and its identity."""
+        parser.add_argument(
+            "--service", type=arguments.name, required=True, help="name of the service"
+        )
+        parser.add_argument(
+            "--operation", type=arguments.name, required=True, help="name of the operation"
+        )
+        parser.add_argument(
+            "--body", metavar="FILE", help="body of the request; - for standard input"
+        )
+        parser.add_argument(
+            "--content-type",
+            type=arguments.media_type,
+            default="application/octet-stream",
+            help="media type of the body (default: %(default)s)",
+        )
+        add_identity_options(parser)
+        add_timeout_option(parser)
+
+    def run(self, options: argparse.Namespace, context: Context) -> ExitCode:
+        """Send the request."""
+        body = read_input(options.body) if options.body is not None else b""
+        path = f"/v1/services/{options.service}/operations/{options.operation}"
+        seconds = submission_seconds(options, REQUEST_TIMEOUT_S)
+        headers = {**identity_headers(options), **timeout_header(seconds)}
+        headers["Content-Type"] = options.content_type
+        client = context.client(seconds + ANSWER_GRACE_S)
+        return send_and_show(client, HttpRequest("POST", path, body, headers), context.output)
--- /dev/null
+++ b/packages/cli/src/redwingport_cli/exceptions.py
@@ -0,0 +1,66 @@
+"""Exceptions of the command line."""
+
+from redwingport_cli.exit_codes import ExitCode
+from redwingport_messages.outcomes import Outcome
+
+
+class CliError(Exception):
+    """Report a command that ended before or without an answer of the entry process.
+
+    :param step: what was being done.
+    :param peer: the entry process or file on the other side, or an empty string.
+    :param reason: why it failed.
+    :param errors: places of the errors in an input file.
+    """
+
+    code = "command-failed"
+    exit_code = ExitCode.FAILED
+    outcome = Outcome.NOT_RUN
+
+    def __init__(self, step: str, peer: str, reason: str, errors: tuple[str, ...] = ()) -> None:
+        super().__init__(f"{step} ({peer}): {reason}" if peer else f"{step}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
+        self.errors = errors
+
+
+class UsageError(CliError):
+    """Report a wrong argument or an unreadable input file."""
+
+    code = "usage"
+    exit_code = ExitCode.USAGE
+
+
+class InvalidFileError(CliError):
+    """Report an input file whose content is not valid."""
+
+    code = "invalid-file"
+    exit_code = ExitCode.INVALID
+
+
+class UnreachableError(CliError):
+    """Report that no entry process could be reached and nothing was changed."""
+
+    code = "unreachable"
+    exit_code = ExitCode.UNREACHABLE
+
+
+class ConnectionLostError(CliError):
+    """Report a connection lost after a request that may have taken effect was sent."""
+
+    code = "connection-lost"
+    exit_code = ExitCode.OUTCOME_UNKNOWN
+    outcome = Outcome.OUTCOME_UNKNOWN
+
+
+class AnswerError(CliError):
+    """Report an answer that does not follow the HTTP API."""
+
+    code = "unexpected-answer"
+
+
+class OutputError(CliError):
+    """Report output that could not be written."""
+
+    code = "output-failed"
