--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/stand_in_counts.py
@@ -0,0 +1,28 @@
+"""Read the counts that the stand-ins keep."""
+
+import json
+from collections import Counter
+
+from redwingport_messages.vms import VmInfo
+from redwingport_testbed.http_client import HttpClient
+
+SUMMED = ("starts", "distinct", "duplicates", "messages", "declines", "empty_starts", "running")
+
+
+async def sum_counts(client: HttpClient, vms: tuple[VmInfo, ...]) -> Counter[str]:
+    """Add up the counts of backend servers."""
+    total: Counter[str] = Counter()
+    for vm in vms:
+        answer = await client.request("GET", f"http://{vm.host}:{vm.port}/control/counts")
+        counts = json.loads(answer.body)
+        total.update({name: counts.get(name, 0) for name in SUMMED})
+    return total
+
+
+async def tasks_started_twice(client: HttpClient, vms: tuple[VmInfo, ...]) -> list[str]:
+    """List tasks that were started more than once, on whichever servers."""
+    count_by_task: Counter[tuple[str, int]] = Counter()
+    for vm in vms:
+        answer = await client.request("GET", f"http://{vm.host}:{vm.port}/control/starts")
+        count_by_task.update((submission, task) for submission, task in json.loads(answer.body))
+    return [f"{name} task {task}" for (name, task), count in count_by_task.items() if count > 1]
--- a/packages/testbed/src/redwingport_testbed/standins/executor.py
+++ b/packages/testbed/src/redwingport_testbed/standins/executor.py
@@ -127,7 +127,7 @@
         return not body.fail
 
     async def _get_counts(self, request: Request) -> Response:
-        counts = {"messages": 0, "done": 0, "failed": 0} | dict(self.counts)
+        counts = {"messages": 0, "done": 0, "failed": 0} | self.counts
         ended = {name: counts.pop(name) for name in ("done", "failed")}
         load = {"running": self._active, "queued": self._queued, "declines": 0}
         return json_response(self.starts.as_json() | counts | load | {"ended": ended})
--- a/packages/testbed/src/redwingport_testbed/standins/fleet.py
+++ b/packages/testbed/src/redwingport_testbed/standins/fleet.py
@@ -4,10 +4,11 @@
 import hashlib
 import secrets
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from redwingport_messages.vms import VmInfo, VmKind, VmList
 from redwingport_testbed.exceptions import TestbedError
@@ -49,6 +50,7 @@
     :param request_service: service the executors belong to.
     :param team: team that owns the services.
     :param operations: operations of the request service.
+    :param response_weight: weight of response time in the service documents.
     """
 
     name: str
@@ -61,6 +63,7 @@
     request_service: str
     team: str
     operations: tuple[str, ...]
+    response_weight: float
 
 
 DEPLOYMENT_BY_NAME = {
@@ -75,6 +78,7 @@
         request_service="route-desk",
         team="dairy",
         operations=("stop-check", "standing-order"),
+        response_weight=0.2,
     ),
     "sala": Deployment(
         name="sala",
@@ -87,6 +91,7 @@
         request_service="rite-desk",
         team="sala",
         operations=("hold", "payment-confirmation"),
+        response_weight=0.9,
     ),
 }
 
@@ -178,22 +183,34 @@
         """Return the list of all VMs, as the platform takes it."""
         return VmList(version=0, vms=self.entry_vms() + self.worker_vms() + self.executor_vms())
 
+    def service_documents(self) -> tuple[dict[str, Any], ...]:
+        """Return the service documents: one for jobs, one for requests."""
+        deployment = self.deployment
+        shared = {"team": deployment.team, "response_weight": deployment.response_weight}
+        jobs = {"name": deployment.job_service, "jobs": {"max_tasks": 150}}
+        operations = {name: {"timeout_ms": 10_000} for name in deployment.operations}
+        requests = {"name": deployment.request_service, "operations": operations}
+        return (shared | jobs, shared | requests)
+
     def speed(self, number: int) -> float:
         """Return the speed of the worker or executor with a number, from 0."""
         return self.deployment.speeds[number % len(self.deployment.speeds)]
 
-    def write_settings(self, directory: Path, log_level: str = "info") -> tuple[Path, ...]:
+    def write_settings(
+        self, directory: Path, changes: Mapping[str, Mapping[str, str]] | None = None
+    ) -> tuple[Path, ...]:
         """Write the settings file of every entry process.
 
         :param directory: existing directory; a log file per process is placed there too.
-        :param log_level: level of the log.
+        :param changes: values by section and key that replace or complete the usual ones.
         :returns: the paths, in the order of :meth:`entry_vms`.
         """
         paths = []
         for vm in self.entry_vms():
             path = directory / f"{vm.vm}.ini"
             parser = configparser.ConfigParser(interpolation=None)
-            parser.read_dict(self._sections(vm, directory, log_level))
+            parser.read_dict(self._sections(vm, directory))
+            parser.read_dict(changes or {})
             # The file holds the shared secret.
             path.touch(mode=0o600)
             with path.open("w", encoding="utf-8") as file:
@@ -201,7 +218,7 @@
             paths.append(path)
         return tuple(paths)
 
-    def _sections(self, vm: VmInfo, directory: Path, log_level: str) -> dict[str, dict[str, str]]:
+    def _sections(self, vm: VmInfo, directory: Path) -> dict[str, dict[str, str]]:
         seeds = [f"{peer.host}:{peer.peer_port}" for peer in self.entry_vms() if peer != vm]
         return {
             "entry": {
@@ -218,7 +235,7 @@
             "peers": {"secret": self.secret, "seeds": ",".join(seeds)},
             "log": {
                 "format": "json",
-                "level": log_level,
+                "level": "info",
                 "decisions": "true",
                 "file": str(directory / f"{vm.vm}.log"),
             },
--- a/packages/testbed/src/redwingport_testbed/standins/relay.py
+++ b/packages/testbed/src/redwingport_testbed/standins/relay.py
@@ -11,6 +11,7 @@
 from anyio.abc import SocketStream, TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+SWALLOW_POLL_S = 0.1
 _BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 _Chunk = tuple[float, bytes]
 
@@ -83,17 +84,19 @@
 
     def _start_direction(self, group: TaskGroup, source: SocketStream, sink: SocketStream) -> None:
         send, receive = anyio.create_memory_object_stream[_Chunk](math.inf)
-        group.start_soon(self._read, source, send)
+        group.start_soon(self._read, group, source, send)
         group.start_soon(self._write, group, sink, receive)
 
-    async def _read(self, source: SocketStream, chunks: MemoryObjectSendStream[_Chunk]) -> None:
+    async def _read(
+        self, group: TaskGroup, source: SocketStream, chunks: MemoryObjectSendStream[_Chunk]
+    ) -> None:
         with chunks:
             try:
                 async for chunk in source:
                     if self.mode is RelayMode.PASS:
                         chunks.send_nowait((monotonic() + self.delay_s, chunk))
             except _BROKEN:
-                return
+                group.cancel_scope.cancel()
 
     async def _write(
         self, group: TaskGroup, sink: SocketStream, chunks: MemoryObjectReceiveStream[_Chunk]
@@ -105,7 +108,8 @@
                     if self.mode is RelayMode.PASS:
                         await sink.send(chunk)
                 while self.mode is RelayMode.SWALLOW:
-                    await anyio.sleep(0.1)
+                    await anyio.sleep(SWALLOW_POLL_S)
                 await sink.send_eof()
-            except _BROKEN:
+            except (*_BROKEN, RuntimeError):
+                # uvloop reports the end of a closed connection as a RuntimeError.
                 group.cancel_scope.cancel()
--- a/packages/testbed/src/redwingport_testbed/standins/worker.py
+++ b/packages/testbed/src/redwingport_testbed/standins/worker.py
@@ -339,7 +339,7 @@
         return json_response({"checkpoint": f"{body.submission}/{body.task}/{share:.3f}"})
 
     async def _get_counts(self, request: Request) -> Response:
-        counts = {"messages": 0, "declines": 0, "broken": 0} | dict(self.counts)
+        counts = {"messages": 0, "declines": 0, "empty_starts": 0, "broken": 0} | self.counts
         ended = {str(status): counts.pop(str(status), 0) for status in TaskStatus}
         running = len(self.run_by_task)
         return json_response(self.starts.as_json() | counts | {"running": running, "ended": ended})
@@ -380,6 +380,8 @@
             return
         ends: asyncio.Queue[bytes] = asyncio.Queue()
         answer = worker.start(request, ends)
+        if not answer.started:
+            worker.counts["empty_starts"] += 1
         if worker.faults.delay_answer_ms:
             await asyncio.sleep(worker.faults.delay_answer_ms / 1_000)
         headers = [(b"content-type", b"application/x-ndjson")]
