Keep an unexpected error from ending the process, and late forwards from being cut

Cause, found by reading: an unexpected exception in an exchange or a message handler reached the root task group and would end the process; two peers that both send a large sync answer from their reading tasks would block each other; a forward that arrives after the last run of a shutdown was started and then cut. Ruled out: restarting the whole process by its supervisor, which loses every running submission. Result: errors cost their connection or link; answers are sent outside the reading task; a process that has finished its runs answers new ids with not-run.

--- a/packages/entry/src/redwingport_entry/drain.py
+++ b/packages/entry/src/redwingport_entry/drain.py
@@ -18,13 +18,14 @@
 
 
 async def wait_for_runs(submissions: Submissions, timeout_s: float) -> None:
-    """Wait until no submission is running.
+    """Wait until no submission is running, then start no more.
 
     :param timeout_s: longest wait, in seconds.
     """
     deadline = anyio.current_time() + timeout_s
     while submissions.table.running() and anyio.current_time() < deadline:
         await anyio.sleep(POLL_S)
+    submissions.closed = True
 
 
 async def hand_over(submissions: Submissions, mesh: PeerMesh, domain: str) -> None:
--- a/packages/entry/src/redwingport_entry/gateways/connections.py
+++ b/packages/entry/src/redwingport_entry/gateways/connections.py
@@ -1,5 +1,6 @@
 """Connections to one HTTP server, each owned by one task."""
 
+import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -7,9 +8,13 @@
 import httpcore
 from anyio.abc import TaskGroup
 
+from redwingport_entry.logs import ROOT, log_event
+
 IDLE_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 1.0
 
+logger = logging.getLogger(ROOT)
+
 Exchange = Callable[[httpcore.AsyncHTTPConnection], Awaitable[bool]]
 
 
@@ -77,7 +82,7 @@
                 if connection.is_closed() or connection.has_expired():
                     await connection.aclose()
                     connection = self._connect()
-                reusable = await exchange(connection)
+                reusable = await _run_guarded(exchange, connection)
                 if not reusable:
                     await connection.aclose()
                 exchange = await self._next_exchange()
@@ -107,6 +112,17 @@
         return httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=IDLE_TIMEOUT_S * 2)
 
 
+async def _run_guarded(exchange: Exchange, connection: httpcore.AsyncHTTPConnection) -> bool:
+    """Run an exchange; an unexpected error costs its connection, not the process."""
+    try:
+        return await exchange(connection)
+    except Exception as error:
+        log_event(
+            logger, logging.ERROR, "exchange-failed", error=f"{type(error).__name__}: {error}"
+        )
+        return False
+
+
 async def send_request(
     connection: httpcore.AsyncHTTPConnection,
     method: str,
--- a/packages/entry/src/redwingport_entry/gateways/executors.py
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -152,8 +152,11 @@
 
         async def run(connection: httpcore.AsyncHTTPConnection) -> bool:
             nonlocal outcome
-            outcome = await self._send(connection, server, attempt)
-            done.set()
+            outcome = Lost(server.info.vm, "the exchange failed")
+            try:
+                outcome = await self._send(connection, server, attempt)
+            finally:
+                done.set()
             return isinstance(outcome, Answer)
 
         server.connections.submit(run)
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -189,8 +189,10 @@
             job.sent.difference_update(pending)
             self._log_retry(server, job, "not-written", str(error))
             self._requeue(server, list(pending.values()))
-        except LOST_WORKER_ERRORS as error:
+        except Exception as error:
             self._fail_lost(server, job, pending, error)
+            if not isinstance(error, LOST_WORKER_ERRORS):
+                raise
         return False
 
     async def _exchange(
--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -85,11 +85,13 @@
         """Act on one message of a peer."""
         match message:
             case Heartbeat():
-                await self._take_heartbeat(link, message)
+                self._take_heartbeat(link, message)
             case Document():
                 self._configuration.take(message.revision, message.text, link.peer.vm)
             case SyncRequest():
-                await link.send(self._sync_answer())
+                # Sent outside the reading task: two peers that both write a large answer and do
+                # not read would hold each other up.
+                self._task_group.start_soon(self._answer, link, self._sync_answer())
             case SyncAnswer():
                 self._take_sync(link, message)
             case VmListNews():
@@ -100,7 +102,8 @@
                         self._on_server_leaving(vm)
             case RevisionQuery():
                 revision = self._store.revision(message.service)
-                await link.send(RevisionAnswer(message.call, revision))
+                answer = RevisionAnswer(message.call, revision)
+                self._task_group.start_soon(self._answer, link, answer)
             case Forward():
                 self._task_group.start_soon(self._answer_forward, link, message)
             case Handover():
@@ -199,25 +202,29 @@
 
     async def _answer_forward(self, link: PeerLink, message: Forward) -> None:
         answer = await self._run_forward(message)
+        await self._answer(
+            link,
+            ForwardAnswer(
+                message.call,
+                message.submission_id,
+                str(answer.outcome),
+                answer.status,
+                answer.content_type,
+                answer.body,
+                answer.retry_after_s,
+            ),
+        )
+
+    async def _answer(self, link: PeerLink, message: Frame) -> None:
         try:
-            await link.send(
-                ForwardAnswer(
-                    message.call,
-                    message.submission_id,
-                    str(answer.outcome),
-                    answer.status,
-                    answer.content_type,
-                    answer.body,
-                    answer.retry_after_s,
-                )
-            )
+            await link.send(message)
         except PeerError as error:
             log_event(
                 logger,
                 logging.INFO,
-                "forward-answer-lost",
+                "answer-lost",
                 peer=link.peer.vm,
-                submission=message.submission_id,
+                message=type(message).__name__,
                 error=error.reason,
             )
 
@@ -246,15 +253,16 @@
         answer = await self._submissions.read(submission_id, deadline)
         return answer or answer_of_problem(still_running())
 
-    async def _take_heartbeat(self, link: PeerLink, message: Heartbeat) -> None:
+    def _take_heartbeat(self, link: PeerLink, message: Heartbeat) -> None:
         first = link.heartbeat is None
         link.heartbeat = message
         link.leaving = message.leaving
         self._membership.weight_by_vm[link.peer.vm] = message.weight
         if first:
-            await link.send(SyncRequest())
+            self._task_group.start_soon(self._answer, link, SyncRequest())
         elif message.vms_version < self._membership.vm_list.version:
-            await link.send(VmListNews(self._membership.vm_list.model_dump_json()))
+            news = VmListNews(self._membership.vm_list.model_dump_json())
+            self._task_group.start_soon(self._answer, link, news)
 
     def _sync_answer(self) -> SyncAnswer:
         rows = [
--- a/packages/entry/src/redwingport_entry/peers/link.py
+++ b/packages/entry/src/redwingport_entry/peers/link.py
@@ -1,10 +1,12 @@
 """One open link to a peer."""
 
+import logging
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from redwingport_entry.exceptions import PeerError
+from redwingport_entry.logs import ROOT, log_event
 from redwingport_entry.metrics import Metrics
 from redwingport_entry.peers.framing import FrameStream
 from redwingport_messages.exceptions import MessageError
@@ -28,6 +30,8 @@
 )
 SEND_TIMEOUT_S = 5.0
 
+logger = logging.getLogger(ROOT)
+
 Handler = Callable[["PeerLink", Frame], Awaitable[None]]
 
 
@@ -100,6 +104,15 @@
                     await handle(self, message)
         except (*LINK_ERRORS, TimeoutError):
             pass
+        except Exception as error:
+            # A message that cannot be handled costs its link, not the process.
+            log_event(
+                logger,
+                logging.ERROR,
+                "message-failed",
+                peer=self.peer.vm,
+                error=f"{type(error).__name__}: {error}",
+            )
         finally:
             await self.close()
 
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -112,11 +112,13 @@
         while True:
             await anyio.sleep(peers.heartbeat_s / 4)
             now = anyio.current_time()
-            for link in self.links():
-                near = link.peer.domain == self._settings.entry.domain
-                interval_s = peers.heartbeat_s if near else peers.remote_heartbeat_s
-                if now - link.sent_at >= interval_s:
-                    await self._send_quietly(link, self.heartbeat())
+            # Each in its own task: a peer that does not read delays only its own heartbeat.
+            async with anyio.create_task_group() as task_group:
+                for link in self.links():
+                    near = link.peer.domain == self.own_domain
+                    interval_s = peers.heartbeat_s if near else peers.remote_heartbeat_s
+                    if now - link.sent_at >= interval_s:
+                        task_group.start_soon(self._send_quietly, link, self.heartbeat())
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat of this process."""
--- a/packages/entry/src/redwingport_entry/submissions.py
+++ b/packages/entry/src/redwingport_entry/submissions.py
@@ -15,6 +15,7 @@
 from redwingport_messages.ids import SubmissionId, parse_submission_id
 from redwingport_messages.outcomes import (
     Answer,
+    Problem,
     answer_of_problem,
     failed,
     not_run,
@@ -67,6 +68,7 @@
         self._request_runner = request_runner
         self._metrics = metrics
         self.forward: Forwarder = _no_peers
+        self.closed = False
 
     async def submit(self, submission: Submission, id_text: str, key: str) -> tuple[str, Answer]:
         """Take a submission from a caller.
@@ -86,6 +88,8 @@
 
     async def submit_own(self, submission_id: SubmissionId, submission: Submission) -> Answer:
         """Start, attach to or answer a submission that names this incarnation."""
+        if self.closed and submission_id.counter not in self.table.record_by_counter:
+            return answer_of_problem(_closed())
         begun = self.table.begin(submission_id, submission.fingerprint())
         if isinstance(begun, Err):
             return answer_of_problem(begun.err_value)
@@ -193,6 +197,12 @@
         return await self._request_runner(document.name).run(record, submission, document)
 
 
+def _closed() -> Problem:
+    """Describe a submission that arrives after the last run of a process that shuts down."""
+    detail = "The process that owns this id is shutting down; use a new id."
+    return not_run(503, "shutting-down", detail, step="begin")
+
+
 async def _no_peers(kind: str, submission_id: SubmissionId, submission: Submission) -> Answer:
     problem = outcome_unknown(
         "owner-unreachable", "No peer is known.", step="forward", retryable=True
--- a/packages/messages/src/redwingport_messages/documents.py
+++ b/packages/messages/src/redwingport_messages/documents.py
@@ -11,6 +11,8 @@
 
 Name = Annotated[str, StringConstraints(pattern=rf"^{NAME_PATTERN}$")]
 MAX_DOCUMENT_BYTES = 64 * 1024
+# An answer has to fit into one frame between processes (16 MiB).
+MAX_ANSWER_BYTES = 12 * 1024 * 1024
 
 
 class _Strict(BaseModel):
@@ -40,7 +42,7 @@
 
     max_tasks: int = Field(default=150, ge=1, le=1_000)
     timeout_ms: int = Field(default=60_000, ge=1, le=3_600_000)
-    max_answer_bytes: int = Field(default=8 * 1024 * 1024, ge=1, le=64 * 1024 * 1024)
+    max_answer_bytes: int = Field(default=8 * 1024 * 1024, ge=1, le=MAX_ANSWER_BYTES)
 
 
 class RetrySpec(_Strict):
