Drop the full stop of transport errors inside a message

Cause: a trial against an entry process that was killed during a job showed "without sending a response.;" in the notice of the resubmission.

Ruled out: wording of our own per transport error, which would hide what the HTTP library reports.

--- a/packages/cli/src/redwingport_cli/client.py
+++ b/packages/cli/src/redwingport_cli/client.py
@@ -185,7 +185,7 @@
 
 
 def _reason(error: Exception) -> str:
-    return str(error) or type(error).__name__
+    return str(error).rstrip(".") or type(error).__name__
 
 
 def _socket_options() -> list[tuple[int, int, int]]:
