Answer refused resubmissions truthfully before their body is read

Cause, found in review of the command line: a resubmission whose body was refused (400, 408, 413) was answered not-run although the first submission under its id or key might have run; an internal error was answered as final. Ruled out: looking up the record first, which needs the owner. Also: an expired id at a process that shuts down is no longer called not-run, and an [operators] section no longer hides other errors.

--- a/packages/entry/src/redwingport_entry/api/application.py
+++ b/packages/entry/src/redwingport_entry/api/application.py
@@ -16,7 +16,7 @@
 from redwingport_entry.api.responses import json_response, problem_response
 from redwingport_entry.logs import ROOT, log_event
 from redwingport_entry.metrics import Metrics
-from redwingport_messages.outcomes import failed
+from redwingport_messages.outcomes import outcome_unknown
 
 logger = logging.getLogger(ROOT)
 
@@ -64,4 +64,6 @@
         path=request.url.path,
         error=f"{type(error).__name__}: {error}",
     )
-    return problem_response(failed("internal-error", "The process failed.", step="serve"))
+    # A run may go on, or a change may have been made, without this request.
+    detail = "The process failed to answer."
+    return problem_response(outcome_unknown("internal-error", detail, status=500, step="serve"))
--- a/packages/entry/src/redwingport_entry/api/callers.py
+++ b/packages/entry/src/redwingport_entry/api/callers.py
@@ -1,6 +1,7 @@
 """Routes of callers: submission ids, jobs, requests, answers and cancellation."""
 
 import re
+from dataclasses import replace
 
 import anyio
 from result import Err, Ok, Result
@@ -21,7 +22,7 @@
     HEADER_TIMEOUT_MS,
 )
 from redwingport_messages.ids import SubmissionId, parse_submission_id
-from redwingport_messages.outcomes import Problem, not_run
+from redwingport_messages.outcomes import Outcome, Problem, not_run
 from redwingport_messages.submissions import Submission
 
 DEFAULT_TIMEOUT_MS = 60_000
@@ -82,18 +83,19 @@
         return await self._by_id(request, "cancel")
 
     async def _submit(self, request: Request, operation: str) -> Response:
-        timeout_ms = _timeout_ms(request)
-        if isinstance(timeout_ms, Err):
-            return problem_response(timeout_ms.err_value)
         key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "").strip('"')
         id_text = request.headers.get(HEADER_SUBMISSION, "")
+        timeout_ms = _timeout_ms(request)
+        if isinstance(timeout_ms, Err):
+            return problem_response(_refuse_unread(timeout_ms.err_value, key or id_text))
         if (key and id_text) or (key and _KEY.fullmatch(key) is None):
             detail = "Idempotency-Key is 1 to 200 visible ASCII characters, without an id."
-            return problem_response(not_run(400, "invalid-key", detail, step="parse"))
+            problem = not_run(400, "invalid-key", detail, step="parse")
+            return problem_response(_refuse_unread(problem, id_text))
         deadline = anyio.current_time() + timeout_ms.ok_value / 1000.0
         body = await read_request_body(request, self._max_body_bytes)
         if isinstance(body, Err):
-            return problem_response(body.err_value)
+            return problem_response(_refuse_unread(body.err_value, key or id_text))
         submission = Submission(
             request.path_params["service"],
             operation,
@@ -130,6 +132,18 @@
         return json_response({"submission": str(submission_id), "state": state}, 202)
 
 
+def _refuse_unread(problem: Problem, name: str) -> Problem:
+    """Turn the refusal of a request that was not read into a true one.
+
+    An earlier request with the same id or key may have run, which only its owner knows.
+
+    :param name: the id or key of the request, or an empty string.
+    """
+    if not name:
+        return problem
+    return replace(problem, outcome=Outcome.OUTCOME_UNKNOWN)
+
+
 def _timeout_ms(request: Request) -> Result[int, Problem]:
     text = request.headers.get(HEADER_TIMEOUT_MS, str(DEFAULT_TIMEOUT_MS))
     if not text.isdecimal() or not 1 <= int(text[:9]) <= MAX_TIMEOUT_MS:
--- a/packages/entry/src/redwingport_entry/settings.py
+++ b/packages/entry/src/redwingport_entry/settings.py
@@ -217,18 +217,25 @@
     :param sections: keys and values by section name.
     :returns: the settings, or one line per error.
     """
-    plain = {k: v for k, v in sections.items() if not k.startswith(OPERATOR_PREFIX)}
+    unknown: tuple[str, ...] = ()
+    if "operators" in sections:
+        unknown = ("[operators]: unknown section; name operators as [operator NAME]",)
+    plain = {
+        name: section
+        for name, section in sections.items()
+        if name != "operators" and not name.startswith(OPERATOR_PREFIX)
+    }
     operators = {
         name.removeprefix(OPERATOR_PREFIX): section
         for name, section in sections.items()
         if name.startswith(OPERATOR_PREFIX)
     }
     try:
-        if "operators" in plain:
-            return Err(("[operators]: unknown section; name operators as [operator NAME]",))
-        return Ok(Settings.model_validate({**plain, "operators": operators}))
+        settings = Settings.model_validate({**plain, "operators": operators})
     except ValidationError as error:
-        return Err(tuple(_error_line(item) for item in error.errors(include_url=False)))
+        lines = tuple(_error_line(item) for item in error.errors(include_url=False))
+        return Err(lines + unknown)
+    return Err(unknown) if unknown else Ok(settings)
 
 
 def _error_line(item: object) -> str:
--- a/packages/entry/src/redwingport_entry/submissions.py
+++ b/packages/entry/src/redwingport_entry/submissions.py
@@ -88,7 +88,7 @@
 
     async def submit_own(self, submission_id: SubmissionId, submission: Submission) -> Answer:
         """Start, attach to or answer a submission that names this incarnation."""
-        if self.closed and submission_id.counter not in self.table.record_by_counter:
+        if self.closed and self.table.is_unused(submission_id):
             return answer_of_problem(_closed())
         begun = self.table.begin(submission_id, submission.fingerprint())
         if isinstance(begun, Err):
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -35,6 +35,7 @@
     sections["policy"] = {"chooser": "best"}
     sections["operator ann"] = {"token_sha256": "xyz", "teams": "dairy"}
     sections["extra"] = {}
+    sections["operators"] = {}
     checked = check_settings(sections)
     assert isinstance(checked, Err)
     places = {line.split(":")[0] for line in checked.err_value}
@@ -46,6 +47,7 @@
         "[policy]",
         "[operator ann] token_sha256",
         "[extra]",
+        "[operators]",
     }
 
 
--- a/packages/state/src/redwingport_state/submissions.py
+++ b/packages/state/src/redwingport_state/submissions.py
@@ -151,6 +151,14 @@
             return Err(expired_id())
         return Ok(record)
 
+    def is_unused(self, submission_id: SubmissionId) -> bool:
+        """Tell whether an id was issued and may still start."""
+        return (
+            self.issuer.issued(submission_id)
+            and submission_id.counter > self.low_water
+            and submission_id.counter not in self.record_by_counter
+        )
+
     def finish(self, record: Record, answer: Answer) -> None:
         """Store the answer of a submission and wake those who wait for it.
 
