Read the VM list by conditional requests and count control bytes

Cause: at 1,900 workers the list has about 500 KB (250 bytes a VM, computed); read every 2 s it would cost 250 KB/s in each process, 25 times the budget for control. Ruled out: a longer interval, which delays the news that a server leaves. Result: an unchanged list costs a 304 without a body; the processes now count bytes to platform and peers, and their own processor time and memory, so that the slopes can be measured.

--- a/packages/entry/src/redwingport_entry/metrics.py
+++ b/packages/entry/src/redwingport_entry/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the entry process, for ``/metrics``."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, ProcessCollector
 
 DURATION_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
 
@@ -10,6 +10,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self.submissions = Counter(
             "redwingport_submissions",
             "Submissions ended, by service and outcome",
@@ -68,6 +69,17 @@
             ("step",),
             registry=self.registry,
         )
+        self.platform_bytes = Counter(
+            "redwingport_platform_bytes",
+            "Bytes of bodies exchanged with the platform",
+            registry=self.registry,
+        )
+        self.peer_bytes = Counter(
+            "redwingport_peer_bytes",
+            "Bytes of frames sent to peers, by message",
+            ("message",),
+            registry=self.registry,
+        )
         self.documents = Gauge(
             "redwingport_document_revision",
             "Revision in force, by service",
--- a/packages/entry/src/redwingport_entry/peers/framing.py
+++ b/packages/entry/src/redwingport_entry/peers/framing.py
@@ -29,14 +29,16 @@
         self._reader = BufferedByteReceiveStream(stream)
         self._send_lock = anyio.Lock()
 
-    async def send(self, message: Frame) -> None:
+    async def send(self, message: Frame) -> int:
         """Send one message.
 
+        :returns: bytes of the frame.
         :raises anyio.BrokenResourceError, anyio.ClosedResourceError: when the link is gone.
         """
         data = encode_frame(message)
         async with self._send_lock:
             await self._stream.send(data)
+        return len(data)
 
     async def receive(self, max_bytes: int = MAX_FRAME_BYTES) -> Frame:
         """Receive one message.
--- a/packages/entry/src/redwingport_entry/peers/link.py
+++ b/packages/entry/src/redwingport_entry/peers/link.py
@@ -82,12 +82,14 @@
             raise PeerError("send", self.peer.vm, "the link is closed")
         try:
             with anyio.fail_after(SEND_TIMEOUT_S):
-                await self._frames.send(message)
+                size = await self._frames.send(message)
         except (*LINK_ERRORS, TimeoutError) as error:
             await self.close()
             raise PeerError("send", self.peer.vm, type(error).__name__) from error
         self.sent_at = anyio.current_time()
-        self._metrics.messages.labels(f"peer-{type(message).__name__}").inc()
+        kind = type(message).__name__
+        self._metrics.messages.labels(f"peer-{kind}").inc()
+        self._metrics.peer_bytes.labels(kind).inc(size)
 
     async def serve(self, handle: Handler) -> None:
         """Receive messages until the link breaks.
--- a/packages/entry/src/redwingport_entry/platform.py
+++ b/packages/entry/src/redwingport_entry/platform.py
@@ -1,6 +1,7 @@
 """Client of the platform's table and VM list."""
 
 import json
+from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -75,6 +76,17 @@
     value: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+    etag: bytes
+
+
+def _etag(response: httpcore.Response) -> bytes:
+    return next((value for name, value in response.headers if name.lower() == b"etag"), b"")
+
+
 class PlatformClient:
     """Read and change what the platform keeps.
 
@@ -92,6 +104,7 @@
         self._settings = settings
         self._metrics = metrics
         self._base = httpcore.URL(settings.url)
+        self._vms_etag = b""
         host = self._base.host.decode()
         port = self._base.port or 80
         self._connections = ServerConnections(task_group, host, port, CONNECTIONS)
@@ -103,8 +116,8 @@
         :returns: one result per operation, in order.
         """
         body = {"ops": [op.model_dump() for op in ops]}
-        answer = await self._call("write table", "POST", "/table/transaction", body)
-        results = self._parse(_TransactionAnswer, answer, "write table").results
+        reply = await self._call("write table", "POST", "/table/transaction", body)
+        results = self._parse(_TransactionAnswer, reply, "write table").results
         if [result.key for result in results] != [op.key for op in ops]:
             raise PlatformError("write table", self._connections.peer, "results do not match")
         return results
@@ -112,37 +125,55 @@
     async def read_row(self, key: str) -> tuple[int, str] | None:
         """Return the revision and the value of a row, None when there is none."""
         path = f"/table/rows/{quote(key, safe='/')}"
-        answer = await self._call("read table", "GET", path, None, missing_ok=True)
-        if answer is None:
+        reply = await self._call("read table", "GET", path, None, accept=(200, 404))
+        if reply.status == 404:
             return None
-        row = self._parse(_RowAnswer, answer, "read table")
+        row = self._parse(_RowAnswer, reply, "read table")
         return row.revision, row.value
 
     async def read_index(self, prefix: str) -> list[tuple[str, int]]:
         """Return the keys with a prefix and their revisions."""
         path = f"/table/index?prefix={quote(prefix, safe='')}"
-        answer = await self._call("read index", "GET", path, None)
-        return self._parse(_IndexAnswer, answer, "read index").rows
+        reply = await self._call("read index", "GET", path, None)
+        return self._parse(_IndexAnswer, reply, "read index").rows
 
-    async def read_vms(self) -> VmList:
-        """Return the list of VMs."""
-        answer = await self._call("read VM list", "GET", "/vms", None)
-        return self._parse(VmList, answer, "read VM list")
+    async def read_vms(self) -> VmList | None:
+        """Return the list of VMs, None when it has not changed since the last call.
+
+        The list of 2,000 VMs has about 500 KB; a conditional request keeps the control traffic
+        from growing with the number of VMs.
+        """
+        reply = await self._call(
+            "read VM list", "GET", "/vms", None, accept=(200, 304), etag=self._vms_etag
+        )
+        if reply.status == 304:
+            return None
+        vm_list = self._parse(VmList, reply, "read VM list")
+        self._vms_etag = reply.etag
+        return vm_list
 
     async def _call(
-        self, step: str, method: str, path: str, body: Any, missing_ok: bool = False
-    ) -> bytes | None:
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: Any,
+        accept: tuple[int, ...] = (200,),
+        etag: bytes = b"",
+    ) -> _Reply:
         content = b"" if body is None else json.dumps(body).encode()
         done = anyio.Event()
-        status, answer, reason = 0, b"", "no answer in time"
+        reply, reason = _Reply(0, b"", b""), "no answer in time"
         self._metrics.messages.labels("platform").inc()
 
         async def exchange(connection: httpcore.AsyncHTTPConnection) -> bool:
-            nonlocal status, answer, reason
+            nonlocal reply, reason
             url = httpcore.URL(
                 scheme="http", host=self._base.host, port=self._base.port, target=path
             )
             headers = [(b"content-type", b"application/json")]
+            if etag:
+                headers.append((b"if-none-match", etag))
             try:
                 with anyio.fail_after(self._settings.timeout_s):
                     timeout_s = self._settings.timeout_s
@@ -151,7 +182,8 @@
                     )
                     answer = await read_body(response, MAX_ANSWER_BYTES) or b""
                     await response.aclose()
-                    status = response.status
+                    reply = _Reply(response.status, answer, _etag(response))
+                    self._metrics.platform_bytes.inc(len(content) + len(answer))
             except (
                 NotWrittenError,
                 httpcore.NetworkError,
@@ -168,17 +200,15 @@
         self._connections.submit(exchange)
         with anyio.move_on_after(self._settings.timeout_s * 2):
             await done.wait()
-        if status == 404 and missing_ok:
-            return None
-        if status != 200:
+        if reply.status not in accept:
             self._metrics.platform_errors.labels(step).inc()
-            reason = f"status {status}" if status else reason
+            reason = f"status {reply.status}" if reply.status else reason
             raise PlatformError(step, self._connections.peer, reason)
-        return answer
+        return reply
 
-    def _parse(self, model: type[M], answer: bytes | None, step: str) -> M:
+    def _parse(self, model: type[M], reply: _Reply, step: str) -> M:
         try:
-            return model.model_validate_json(answer or b"")
+            return model.model_validate_json(reply.body)
         except ValidationError as error:
             reason = f"answer does not validate: {error.error_count()} errors"
             raise PlatformError(step, self._connections.peer, reason) from error
--- a/packages/entry/src/redwingport_entry/vms.py
+++ b/packages/entry/src/redwingport_entry/vms.py
@@ -41,7 +41,9 @@
         """Read the list on a timer."""
         while True:
             try:
-                self.take(await self._platform.read_vms(), "platform")
+                vm_list = await self._platform.read_vms()
+                if vm_list is not None:
+                    self.take(vm_list, "platform")
             except PlatformError as error:
                 log_event(logger, logging.WARNING, "poll-failed", error=str(error))
             await anyio.sleep(self._settings.list_poll_s)
--- a/packages/testbed/src/redwingport_testbed/standins/platform.py
+++ b/packages/testbed/src/redwingport_testbed/standins/platform.py
@@ -284,7 +284,11 @@
         if not await self._admitted("list_reads", self._reads):
             return _outage()
         vm_list = self.lists.served(self.faults.list_lag_s)
-        return Response(vm_list.model_dump_json(), media_type="application/json")
+        etag = f'"{vm_list.version}"'
+        if request.headers.get("if-none-match") == etag:
+            return Response(status_code=304, headers={"ETag": etag})
+        body = vm_list.model_dump_json()
+        return Response(body, headers={"ETag": etag}, media_type="application/json")
 
     async def _put_vms(self, request: Request) -> Response:
         try:
--- a/packages/testbed/tests/test_platform.py
+++ b/packages/testbed/tests/test_platform.py
@@ -110,3 +110,14 @@
     assert [vm.leaving for vm in (await served()).vms] == [False]
     await anyio.sleep(0.25)
     assert [vm.leaving for vm in (await served()).vms] == [True]
+
+
+async def test_an_unchanged_list_of_vms_is_not_sent_again(caller: Caller) -> None:
+    """Guards against control traffic that grows with the number of VMs."""
+    await caller.call("PUT", "/vms", {"vms": [VM]})
+    url = f"http://127.0.0.1:{caller.port}/vms"
+    first = await caller.client.request("GET", url)
+    condition = {"If-None-Match": first.headers["etag"]}
+    assert (await caller.client.request("GET", url, headers=condition)).status == 304
+    await caller.call("POST", "/vms/entry-1", {"leaving": True})
+    assert (await caller.client.request("GET", url, headers=condition)).status == 200
