Add the bench: scenarios, real processes, reports and traces

Cause: the policy has targets and there was nothing to measure it with.

Ruled out: plain Poisson arrivals, whose work varies by about 8 % in a run of 10 s with jobs of up to 150 tasks; arrivals are drawn until their work is the stated load and then placed uniformly. Response times from load.py: it knows neither teams nor deadlines nor jobs of different sizes. Importing matplotlib with the command: stand-ins and generators are the same program and took a second longer to start.

--- a/packages/testbed/src/redwingport_testbed/bench/arrivals.py
+++ b/packages/testbed/src/redwingport_testbed/bench/arrivals.py
@@ -46,6 +46,12 @@
     cpus: float = 1.0
     fail: bool = False
 
+    def as_json(self) -> Any:
+        """Return the members as a list, or the work alone when it says everything."""
+        if self == TaskPlan(self.work_ms, self.work_ms):
+            return self.work_ms
+        return [self.work_ms, self.declared_ms, self.cpus, self.fail]
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -98,7 +104,7 @@
 
     def as_json(self) -> list[Any]:
         """Return the members as a list, which keeps traces small."""
-        tasks = [[t.work_ms, t.declared_ms, t.cpus, int(t.fail)] for t in self.tasks]
+        tasks = [task.as_json() for task in self.tasks]
         return [
             self.at,
             self.target,
@@ -114,8 +120,7 @@
     """Read what :meth:`Arrival.as_json` returned."""
     at, target, service, operation, team, timeout_ms, tasks = members
     plans = tuple(
-        TaskPlan(work_ms, declared_ms, cpus, bool(fail))
-        for work_ms, declared_ms, cpus, fail in tasks
+        TaskPlan(*task) if isinstance(task, list) else TaskPlan(task, task) for task in tasks
     )
     return Arrival(at, target, service, operation, team, plans, timeout_ms)
 
@@ -193,5 +198,3 @@
     work_ms = round(work_s * TIME_SCALE * 1000, 1)
     exponent = rng.uniform(-1, 1)
     return TaskPlan(work_ms, round(work_ms * declared_error**exponent, 2))
-
-
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/bench/traces.py
@@ -0,0 +1,149 @@
+"""Traces: recorded arrivals with the outcomes that every policy has to reach."""
+
+import json
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from redwingport_testbed.bench.arrivals import (
+    Arrival,
+    TaskPlan,
+    arrival_from_json,
+    draw_arrivals,
+)
+from redwingport_testbed.bench.runs import lay_out_fleet, run_arrivals
+from redwingport_testbed.bench.scenario import Kind, Scenario, deployment_of, scenario_from_json
+from redwingport_testbed.entry_client import COMPLETE
+from redwingport_testbed.exceptions import TestbedError
+from redwingport_testbed.standins.fleet import Fleet
+
+TRACE_LOAD = 0.5
+TRACE_SECONDS = 3.0
+TRACE_SLACK_S = 5.0
+# Longer tasks would make the replay take longer than 15 s.
+LONGEST_WORK_MS = 1_500.0
+# The target of 0.05 per task is for 80 % load. About 0.04 of it are heartbeats and polls, whose
+# rate does not depend on the load; at 50 % load, and over a run that lasts twice as long as its
+# arrivals, they are 3.2 times as many per task.
+MAX_WASTED_PER_TASK = 0.2
+MAX_DECLINED_SHARE = 0.1
+IMPOSSIBLE_CPUS = 64.0
+EVERY_IMPOSSIBLE = 20
+TOO_MANY_TASKS = 151
+
+
+def record_trace(path: Path, deployment: str, seed: int) -> None:
+    """Draw a trace and write it with its stated outcomes.
+
+    The outcomes follow from the submissions, not from a run: a job with a task that no worker
+    can hold is refused, a job with a failing task fails, every other one is whole.
+
+    :param path: file to write.
+    :param deployment: name of the deployment.
+    :param seed: seed of the arrivals.
+    """
+    scenario = Scenario(
+        deployment=deployment,
+        kind=Kind.JOBS,
+        load=TRACE_LOAD,
+        warm_up_s=0.0,
+        measure_s=TRACE_SECONDS,
+        slack_s=TRACE_SLACK_S,
+        seed=seed,
+    )
+    fleet = Fleet(deployment_of(scenario), 0)
+    arrivals = draw_arrivals(scenario, fleet)
+    requests = draw_arrivals(replace(scenario, kind=Kind.REQUESTS), fleet)
+    changed = [_change(number, arrival) for number, arrival in enumerate(arrivals)]
+    merged = [_shorten(arrival) for arrival in (*changed, *requests)]
+    merged.sort(key=lambda arrival: arrival.at)
+    trace = {
+        "scenario": scenario.as_json(),
+        "bounds": {
+            "wasted_per_task": MAX_WASTED_PER_TASK,
+            "declined_share": MAX_DECLINED_SHARE,
+        },
+        "arrivals": [arrival.as_json() for arrival in merged],
+        "outcomes": [stated_outcome(arrival) for arrival in merged],
+    }
+    path.write_text(json.dumps(trace, separators=(",", ":")) + "\n", encoding="utf-8")
+
+
+def stated_outcome(arrival: Arrival) -> str:
+    """Return the outcome and the problem that a submission has to get."""
+    if len(arrival.tasks) >= TOO_MANY_TASKS:
+        return "not-run too-many-tasks"
+    if any(task.cpus >= IMPOSSIBLE_CPUS for task in arrival.tasks):
+        return "not-run never-fits"
+    if any(task.fail for task in arrival.tasks):
+        return "failed task-failed"
+    return COMPLETE
+
+
+def _shorten(arrival: Arrival) -> Arrival:
+    tasks = tuple(
+        replace(
+            task,
+            work_ms=min(task.work_ms, LONGEST_WORK_MS),
+            declared_ms=min(task.declared_ms, LONGEST_WORK_MS),
+        )
+        for task in arrival.tasks
+    )
+    return replace(arrival, tasks=tasks)
+
+
+def _change(number: int, arrival: Arrival) -> Arrival:
+    """Turn every twentieth job into one that is refused or fails, in turn."""
+    if number % EVERY_IMPOSSIBLE:
+        return arrival
+    first, *others = arrival.tasks
+    which = number // EVERY_IMPOSSIBLE % 3
+    if which == 0:
+        return replace(arrival, tasks=(replace(first, cpus=IMPOSSIBLE_CPUS), *others))
+    if which == 1:
+        return replace(arrival, tasks=(replace(first, fail=True), *others))
+    return replace(arrival, tasks=(TaskPlan(50.0, 50.0),) * TOO_MANY_TASKS)
+
+
+def replay_trace(path: Path, chooser: str) -> list[str]:
+    """Run a trace.
+
+    :param path: the trace.
+    :param chooser: value of ``[policy] chooser``.
+    :returns: what does not hold; empty when everything does.
+    :raises TestbedError: when the file is no trace or the run is void.
+    """
+    try:
+        trace: dict[str, Any] = json.loads(path.read_text(encoding="utf-8"))
+        scenario = replace(scenario_from_json(trace["scenario"]), chooser=chooser)
+        arrivals = [arrival_from_json(item) for item in trace["arrivals"]]
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        raise TestbedError(f"read {path}", str(error)) from error
+    fleet = lay_out_fleet(scenario)
+    members, report = run_arrivals(scenario, fleet, arrivals)
+    if members["void"]:
+        raise TestbedError(f"replay {path}", "; ".join(members["void"]))
+    outcome_by_number = {
+        record.number: f"{record.outcome} {record.problem}".strip() for record in report.records
+    }
+    failures = [
+        f"submission {number}: {outcome_by_number.get(number, 'not sent')} instead of {stated}"
+        for number, stated in enumerate(trace["outcomes"])
+        if outcome_by_number.get(number) != stated
+    ]
+    return failures + _exceeded(members, trace["bounds"])
+
+
+def _exceeded(members: dict[str, Any], bounds: dict[str, float]) -> list[str]:
+    messages = members["messages"]
+    declined = messages["declined_tasks"] / max(messages["tasks"], 1)
+    failures = []
+    if messages["wasted_per_task"] > bounds["wasted_per_task"]:
+        failures.append(f"{messages['wasted_per_task']} wasted messages per task")
+    if declined > bounds["declined_share"]:
+        failures.append(f"{declined:.3f} declined tasks per task")
+    if members["untruthful_refusals"]:
+        failures.append(f"{members['untruthful_refusals']} untruthful refusals")
+    if members["started_twice"]:
+        failures.append(f"{members['started_twice']} tasks started twice")
+    return failures
--- a/packages/testbed/src/redwingport_testbed/main.py
+++ b/packages/testbed/src/redwingport_testbed/main.py
@@ -4,10 +4,10 @@
 import sys
 from collections.abc import Sequence
 
-from redwingport_testbed.commands import demo, load, standins
+from redwingport_testbed.commands import bench, demo, load, standins
 from redwingport_testbed.exceptions import TestbedError
 
-COMMAND_BY_NAME = {"standins": standins, "demo": demo, "load": load}
+COMMAND_BY_NAME = {"standins": standins, "demo": demo, "load": load, "bench": bench}
 
 
 def build_parser() -> argparse.ArgumentParser:
