--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/commands/slopes.py
@@ -0,0 +1,57 @@
+"""Measure how the cost of control, starts and state grows, and print the table."""
+
+import argparse
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+
+from redwingport_testbed.slopes.control import control_series
+from redwingport_testbed.slopes.memory import memory_series
+from redwingport_testbed.slopes.series import TABLE_HEAD, Series
+from redwingport_testbed.slopes.starts import start_series
+
+HELP = "measure the slopes of the capacity page and print them as a table"
+
+Rows = list[tuple[Series, float]]
+
+
+async def _memory(quick: bool) -> Rows:
+    return memory_series(quick)
+
+
+MEASUREMENT_BY_NAME: dict[str, Callable[[bool], Awaitable[Rows]]] = {
+    "memory": _memory,
+    "starts": start_series,
+    "control": control_series,
+}
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the options."""
+    parser.add_argument(
+        "--only", choices=sorted(MEASUREMENT_BY_NAME), action="append", help="repeat for more"
+    )
+    parser.add_argument("--quick", action="store_true", help="few small points, to try the tool")
+    parser.add_argument("--output", type=Path, help="file for the points as JSON")
+
+
+def run(options: argparse.Namespace) -> int:
+    """Measure and print a Markdown table."""
+    rows: Rows = []
+    print(TABLE_HEAD, flush=True)
+    for name in options.only or MEASUREMENT_BY_NAME:
+        measured = anyio.run(
+            MEASUREMENT_BY_NAME[name], options.quick, backend_options={"use_uvloop": True}
+        )
+        for series, planned in measured:
+            print(series.row(planned), flush=True)
+        rows += measured
+    if options.output:
+        points = [
+            {"name": series.name, "size": series.size, "points": series.points}
+            for series, _ in rows
+        ]
+        options.output.write_text(json.dumps(points, indent=2) + "\n", encoding="utf-8")
+    return 0
--- a/packages/testbed/src/redwingport_testbed/main.py
+++ b/packages/testbed/src/redwingport_testbed/main.py
@@ -4,10 +4,16 @@
 import sys
 from collections.abc import Sequence
 
-from redwingport_testbed.commands import bench, demo, load, standins
+from redwingport_testbed.commands import bench, demo, load, slopes, standins
 from redwingport_testbed.exceptions import TestbedError
 
-COMMAND_BY_NAME = {"standins": standins, "demo": demo, "load": load, "bench": bench}
+COMMAND_BY_NAME = {
+    "standins": standins,
+    "demo": demo,
+    "load": load,
+    "bench": bench,
+    "slopes": slopes,
+}
 
 
 def build_parser() -> argparse.ArgumentParser:
