--- a/packages/entry/src/redwingport_entry/gateways/executors.py
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -22,7 +22,7 @@
 from redwingport_messages.outcomes import Answer, Outcome
 from redwingport_messages.submissions import Submission
 from redwingport_policy.base import Work
-from redwingport_policy.estimates import RunTimes, learn_slowness
+from redwingport_policy.estimates import RunTimes, learn_slowness, observe_load
 from redwingport_policy.fair_queue import FairQueue
 
 TICK_S = 0.05
@@ -252,8 +252,8 @@
         view = server.view
         view.slots = load.slots
         # The answer that carries the load still counts as one of our own.
-        view.other_active = max(0.0, load.active + load.queued - (view.own_active - 1))
-        view.load_at = self.clock()
+        others = max(0.0, load.active + load.queued - (view.own_active - 1))
+        observe_load(view, others, self.clock())
         view.leaving = view.leaving or load.leaving
         self.note_leaving(server)
 
--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -1,7 +1,6 @@
 """The backend servers of one kind that a process uses."""
 
 import logging
-import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -14,15 +13,14 @@
 from redwingport_entry.settings import Settings
 from redwingport_messages.vms import VmInfo
 from redwingport_policy.backends import CHOOSER_BY_NAME
-from redwingport_policy.base import Candidate, Work
+from redwingport_policy.base import Candidate, Work, has_room
 from redwingport_policy.ejection import Ejector
+from redwingport_policy.estimates import fade_load
 from redwingport_policy.subset import rendezvous_subset
 from redwingport_state.clock import Clock, monotonic
 from redwingport_state.membership import MembershipView
 
 UNREACHABLE_S = 1.0
-# Load facts are trusted less the older they are: other processes' tasks end meanwhile.
-LOAD_FADE_S = 1.0
 
 decisions = logging.getLogger(DECISIONS)
 logger = logging.getLogger(ROOT)
@@ -109,7 +107,7 @@
         :returns: the server, or None to keep the work in the queue.
         """
         local = [view for view in views if view.local]
-        if any(view.held_slots > 0 or view.free_slots >= 1 for view in local):
+        if any(has_room(view, work) for view in local):
             views = local
         if not views:
             return None
@@ -143,10 +141,7 @@
         view = server.view
         if server.held_deadline <= now:
             view.held_slots = 0
-        age = now - view.load_at
-        if view.other_active > 0 and age > 0:
-            view.other_active *= math.exp(-age / LOAD_FADE_S)
-            view.load_at = now
+        fade_load(view, now)
 
     def _subset(self, infos: list[VmInfo]) -> list[VmInfo]:
         size = self.settings.limits.subset_size
--- a/packages/entry/src/redwingport_entry/gateways/servers.py
+++ b/packages/entry/src/redwingport_entry/gateways/servers.py
@@ -8,6 +8,7 @@
 from redwingport_messages.backend import WorkerLoad
 from redwingport_messages.vms import VmInfo
 from redwingport_policy.base import Candidate
+from redwingport_policy.estimates import observe_load
 
 
 @dataclass(slots=True)
@@ -47,9 +48,11 @@
         """
         view = self.view
         view.slots = load.slots
-        view.held_slots = load.held
-        view.other_active = max(0.0, load.slots - load.free - load.held - self.confirmed)
-        view.load_at = now
+        # Starts on their way use held slots that this line may still count.
+        on_their_way = max(0, view.own_active - self.confirmed)
+        view.held_slots = max(0, load.held - on_their_way)
+        others = load.slots - load.free - load.held - self.confirmed
+        observe_load(view, max(0.0, others), now)
         view.leaving = view.leaving or load.leaving
         if load.held:
             self.held_deadline = now + hold_s
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -122,7 +122,8 @@
             and (not s.info.cpus or s.info.cpus >= body.cpus)
             and (not s.info.memory_mb or s.info.memory_mb >= body.memory_mb)
         ]
-        return self.choose(views, Work(task.run_s, self.queue.length, now, False))
+        weight = task.job.document.response_weight
+        return self.choose(views, Work(task.run_s, self.queue.length, now, False, weight))
 
     def _push(self, task: QueuedTask) -> None:
         task.ticket = self.queue.push(task)
@@ -284,6 +285,8 @@
         for number in answer.started:
             job.server_by_task[number] = server.info.vm
         job.sent.difference_update(answer.declined)
+        for task in declined:
+            self._release(server, task)
         server.apply_worker_load(answer.load, now, hold_ms(job.document.response_weight) / 1000)
         self.note_leaving(server)
         if declined:
--- a/packages/policy/src/redwingport_policy/backends/completion_time.py
+++ b/packages/policy/src/redwingport_policy/backends/completion_time.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 
-from redwingport_policy.base import Candidate, Work
+from redwingport_policy.base import Candidate, Work, has_room
 
 REMOTE_PENALTY_S = 0.003
 
@@ -24,7 +24,7 @@
         best: Candidate | None = None
         best_cost = float("inf")
         for candidate in candidates:
-            if candidate.held_slots <= 0 and candidate.free_slots < 1:
+            if not has_room(candidate, work):
                 continue
             cost = self._cost(candidate, work)
             if cost < best_cost:
--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -5,6 +5,9 @@
 from typing import Protocol
 
 DEFAULT_RUN_S = 0.2
+# Age of load facts at which a server that seems full is tried again, by response weight 0 and 1.
+LONGEST_RETRY_AGE_S = 2.0
+SHORTEST_RETRY_AGE_S = 0.25
 
 
 @dataclass(slots=True)
@@ -17,6 +20,8 @@
     :param slots: tasks the server runs at once.
     :param own_active: tasks that this process has there.
     :param other_active: estimate of the tasks that other processes have there.
+    :param reported_other: the same as of the last load facts.
+    :param mean_other: its mean over the last seconds.
     :param held_slots: idle slots leased to this process (workers only).
     :param slowness: run time here over run time at the mean server, learned.
     :param load_at: monotonic time of the last load facts.
@@ -34,6 +39,8 @@
     memory_mb: float = 0.0
     own_active: int = 0
     other_active: float = 0.0
+    reported_other: float = 0.0
+    mean_other: float = 0.0
     held_slots: int = 0
     slowness: float = 1.0
     load_at: float = 0.0
@@ -55,12 +62,27 @@
     :param queued: tasks that wait in this process, this one included.
     :param now: monotonic time, in seconds.
     :param may_queue: whether the server may hold the work beyond its slots.
+    :param response_weight: 1 favours response time, 0 favours few messages.
     """
 
     run_s: float
     queued: int
     now: float
     may_queue: bool
+    response_weight: float = 0.5
+
+
+def has_room(candidate: Candidate, work: Work) -> bool:
+    """Tell whether a server is believed to start the work at once.
+
+    A server that seemed full long ago is tried again with one task, since nothing else brings
+    news of a server on which this process runs nothing.
+    """
+    if candidate.held_slots > 0 or candidate.free_slots >= 1:
+        return True
+    span_s = LONGEST_RETRY_AGE_S - SHORTEST_RETRY_AGE_S
+    retry_age_s = LONGEST_RETRY_AGE_S - span_s * work.response_weight
+    return candidate.own_active == 0 and work.now - candidate.load_at > retry_age_s
 
 
 class ServerChooser(Protocol):
--- a/packages/policy/src/redwingport_policy/estimates.py
+++ b/packages/policy/src/redwingport_policy/estimates.py
@@ -1,4 +1,6 @@
-"""Estimates learned from answers: run times of services and speeds of servers."""
+"""Estimates learned from answers: run times of services, speeds and loads of servers."""
+
+import math
 
 from redwingport_messages.backend import UsageReport
 from redwingport_policy.base import Candidate
@@ -7,6 +9,10 @@
 SLOWNESS_GAIN = 0.15
 MIN_SLOWNESS = 0.05
 MAX_SLOWNESS = 50.0
+# Tasks last 0.3 s on average, so this is the time in which a load changes.
+LOAD_FADE_S = 0.3
+# Long enough to cover several tasks per slot, short enough to follow a change of the load.
+LOAD_MEAN_S = 2.0
 
 
 class RunTimes:
@@ -45,3 +51,29 @@
         return
     measured = min(max(run_s / expected_s, MIN_SLOWNESS), MAX_SLOWNESS)
     candidate.slowness += SLOWNESS_GAIN * (measured - candidate.slowness)
+
+
+def observe_load(candidate: Candidate, other_active: float, now: float) -> None:
+    """Take in load facts of a server.
+
+    :param other_active: tasks that other processes have there.
+    :param now: monotonic time at which the facts arrived, in seconds.
+    """
+    age_s = now - candidate.load_at
+    gain = 1.0 - math.exp(-age_s / LOAD_MEAN_S)
+    candidate.mean_other += gain * (other_active - candidate.mean_other)
+    candidate.reported_other = candidate.other_active = other_active
+    candidate.load_at = now
+
+
+def fade_load(candidate: Candidate, now: float) -> None:
+    """Move the estimate of others' tasks from the last load facts towards their mean.
+
+    Tasks of other processes end, but others of theirs take their slots. An estimate that fades
+    to zero makes every full server look free again, and its starts are declined.
+
+    :param now: monotonic time, in seconds.
+    """
+    weight = math.exp(-(now - candidate.load_at) / LOAD_FADE_S)
+    difference = candidate.reported_other - candidate.mean_other
+    candidate.other_active = candidate.mean_other + weight * difference
--- a/packages/testbed/src/redwingport_testbed/bench/generator.py
+++ b/packages/testbed/src/redwingport_testbed/bench/generator.py
@@ -1,5 +1,6 @@
 """Send one share of the arrivals of a run and write down what came back."""
 
+import gc
 import json
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
@@ -110,6 +111,8 @@
         if index % count == number
     ]
     generator = Generator(urls, arrivals, start_at)
+    # The arrivals live until the end; collections that scan them delay the sending.
+    gc.freeze()
     records = anyio.run(generator.run, backend_options={"use_uvloop": True})
     output.write_text(json.dumps([asdict(record) for record in records]), encoding="utf-8")
 
--- a/packages/testbed/src/redwingport_testbed/bench/measurement.py
+++ b/packages/testbed/src/redwingport_testbed/bench/measurement.py
@@ -99,6 +99,8 @@
         servers = await read_server_counts(self._client, self._vms)
         processor = self._processor_s()
         outputs, elapsed_s = await self._generate(arrivals)
+        # The servers may have closed the connections that were idle during the run.
+        await self._client.aclose()
         used = {
             name: round(seconds - processor.get(name, 0.0), 3)
             for name, seconds in self._processor_s().items()
--- /dev/null
+++ b/packages/testbed/tests/bench/test_policy_load.py
@@ -0,0 +1,46 @@
+"""Check what a process believes of the load of a server between two answers."""
+
+import pytest
+
+from redwingport_policy.base import Candidate, Work, has_room
+from redwingport_policy.estimates import fade_load, observe_load
+
+FULL = 16
+
+
+def busy_candidate(own_active: int = 0) -> Candidate:
+    """Return a server that others kept full for a long time."""
+    candidate = Candidate("worker-01", "creamery", True, FULL, own_active=own_active)
+    for step in range(200):
+        observe_load(candidate, FULL - own_active, 0.1 * step)
+    return candidate
+
+
+def work(now: float, response_weight: float) -> Work:
+    return Work(0.2, 1, now, False, response_weight)
+
+
+def test_a_full_server_does_not_look_free_because_time_passes() -> None:
+    # An estimate that faded to zero made every start on a busy server a declined one.
+    candidate = busy_candidate(own_active=1)
+    fade_load(candidate, candidate.load_at + 10.0)
+    assert candidate.other_active == pytest.approx(FULL - 1, abs=0.1)
+    assert not has_room(candidate, work(candidate.load_at + 10.0, 1.0))
+
+
+def test_a_single_report_of_free_slots_fades_to_the_usual_load() -> None:
+    candidate = busy_candidate()
+    observe_load(candidate, 4.0, candidate.load_at + 0.1)
+    fade_load(candidate, candidate.load_at)
+    assert candidate.other_active == pytest.approx(4.0)
+    fade_load(candidate, candidate.load_at + 3.0)
+    assert candidate.other_active > 14.0
+
+
+@pytest.mark.parametrize(("response_weight", "age_s"), [(1.0, 0.3), (0.0, 2.1)])
+def test_a_server_without_news_is_tried_again(response_weight: float, age_s: float) -> None:
+    # Without a retry a process that runs nothing never hears that a server became free.
+    candidate = busy_candidate()
+    now = candidate.load_at + age_s
+    assert has_room(candidate, work(now, response_weight))
+    assert not has_room(candidate, work(candidate.load_at + age_s / 2, response_weight))
