Forget submissions without id or key as soon as they have ended

Cause: every request, also one that the caller cannot send again, left a record with its answer for 600 s: 2.5 KB each (slopes, memory), so 100 requests/s fill 150 MB against a budget of 64 MB for control. Ruled out: a shorter lifetime for all, which would break resubmissions. The tag of the id now says that it is for a single use, so that nothing has to be remembered and it still never starts twice.

--- a/packages/entry/src/redwingport_entry/submissions.py
+++ b/packages/entry/src/redwingport_entry/submissions.py
@@ -78,6 +78,8 @@
         :param key: key given by the caller, or an empty string.
         :returns: the submission id, empty when there is none, and the answer.
         """
+        if not id_text and not key:
+            return await self._submit_once(submission)
         resolved = await self._resolve(submission, id_text, key)
         if isinstance(resolved, Err):
             return id_text, resolved.err_value
@@ -86,6 +88,14 @@
             return str(submission_id), await self.submit_own(submission_id, submission)
         return str(submission_id), await self.forward("submit", submission_id, submission)
 
+    async def _submit_once(self, submission: Submission) -> tuple[str, Answer]:
+        """Run a submission that the caller cannot send again."""
+        if self.closed:
+            return "", answer_of_problem(_closed())
+        record = self.table.begin_single_use(submission.fingerprint())
+        self._task_group.start_soon(self._run, record, submission)
+        return str(record.submission_id), await self._wait(record, submission.deadline)
+
     async def submit_own(self, submission_id: SubmissionId, submission: Submission) -> Answer:
         """Start, attach to or answer a submission that names this incarnation."""
         if self.closed and self.table.is_unused(submission_id):
@@ -140,8 +150,6 @@
             own_id = self.table.issue()
             resolved = await self._keys.resolve(row, own_id, fingerprint, submission.deadline)
             return resolved.map_err(answer_of_problem)
-        if not id_text:
-            return Ok(self.table.issue())
         parsed = parse_submission_id(id_text)
         if isinstance(parsed, Err):
             problem = not_run(400, "invalid-id", parsed.err_value, step="parse")
--- a/packages/messages/src/redwingport_messages/ids.py
+++ b/packages/messages/src/redwingport_messages/ids.py
@@ -70,22 +70,34 @@
         self.incarnation = incarnation or new_incarnation()
         self.counter = 0
         self._key = secrets.token_bytes(32)
+        self._single_use_key = secrets.token_bytes(32)
 
-    def issue(self) -> SubmissionId:
-        """Issue the next id."""
+    def issue(self, single_use: bool = False) -> SubmissionId:
+        """Issue the next id.
+
+        :param single_use: whether the id is for a submission that cannot be sent again. Its tag
+            says so, so that nothing has to be remembered of it.
+        """
         self.counter += 1
-        return SubmissionId(
-            self.domain, self.vm, self.incarnation, self.counter, self._tag(self.counter)
-        )
+        key = self._single_use_key if single_use else self._key
+        tag = self._tag(self.counter, key)
+        return SubmissionId(self.domain, self.vm, self.incarnation, self.counter, tag)
 
     def issued(self, submission_id: SubmissionId) -> bool:
         """Tell whether this incarnation issued the id."""
+        return self._has_tag(submission_id, self._key) or self.is_single_use(submission_id)
+
+    def is_single_use(self, submission_id: SubmissionId) -> bool:
+        """Tell whether this incarnation issued the id for a single use."""
+        return self._has_tag(submission_id, self._single_use_key)
+
+    def _has_tag(self, submission_id: SubmissionId, key: bytes) -> bool:
         return (
             submission_id.incarnation == self.incarnation
             and 1 <= submission_id.counter <= self.counter
-            and secrets.compare_digest(submission_id.tag, self._tag(submission_id.counter))
+            and secrets.compare_digest(submission_id.tag, self._tag(submission_id.counter, key))
         )
 
-    def _tag(self, counter: int) -> str:
+    def _tag(self, counter: int, key: bytes) -> str:
         text = f"{self.domain}.{self.vm}.{self.incarnation}.{counter}"
-        return hashlib.blake2b(text.encode(), key=self._key, digest_size=TAG_BYTES).hexdigest()
+        return hashlib.blake2b(text.encode(), key=key, digest_size=TAG_BYTES).hexdigest()
--- a/packages/state/src/redwingport_state/submissions.py
+++ b/packages/state/src/redwingport_state/submissions.py
@@ -133,11 +133,19 @@
         record = self.record_by_counter.get(submission_id.counter)
         if record is not None:
             return self._resume(record, fingerprint)
-        if submission_id.counter <= self.low_water:
+        if self._is_expired(submission_id):
             return Err(expired_id())
-        record = Record(submission_id, fingerprint, self._clock() + self.settings.id_lifetime_s)
-        self.record_by_counter[submission_id.counter] = record
-        return Ok(Started(record))
+        return Ok(Started(self._add(submission_id, fingerprint)))
+
+    def begin_single_use(self, fingerprint: str) -> Record:
+        """Start a submission that cannot be sent again, under a new id.
+
+        Its record goes as soon as it has ended, so that requests without an id or key do not
+        fill the memory for ``id_lifetime_s`` seconds.
+
+        :param fingerprint: digest of the submission.
+        """
+        return self._add(self.issuer.issue(single_use=True), fingerprint)
 
     def find(self, submission_id: SubmissionId) -> Result[Record | None, Problem]:
         """Look up a submission.
@@ -147,7 +155,7 @@
         if not self.issuer.issued(submission_id):
             return Err(not_run(404, "unknown-id", "This id was never issued.", step="find"))
         record = self.record_by_counter.get(submission_id.counter)
-        if record is None and submission_id.counter <= self.low_water:
+        if record is None and self._is_expired(submission_id):
             return Err(expired_id())
         return Ok(record)
 
@@ -155,7 +163,7 @@
         """Tell whether an id was issued and may still start."""
         return (
             self.issuer.issued(submission_id)
-            and submission_id.counter > self.low_water
+            and not self._is_expired(submission_id)
             and submission_id.counter not in self.record_by_counter
         )
 
@@ -173,7 +181,8 @@
             return
         record.answer = answer
         record.done.set()
-        if answer.outcome is Outcome.NOT_RUN and not record.cancelled.is_set():
+        single_use = self.issuer.is_single_use(record.submission_id)
+        if single_use or (answer.outcome is Outcome.NOT_RUN and not record.cancelled.is_set()):
             self.record_by_counter.pop(record.submission_id.counter, None)
             return
         record.forget_at = self._clock() + self.settings.id_lifetime_s
@@ -192,8 +201,7 @@
             return found
         record = found.ok_value
         if record is None:
-            record = Record(submission_id, "", self._clock() + self.settings.id_lifetime_s)
-            self.record_by_counter[submission_id.counter] = record
+            record = self._add(submission_id, "")
             record.cancelled.set()
             self.finish(record, answer_of_problem(cancelled_before_start()))
         elif record.answer is None:
@@ -231,6 +239,15 @@
             return Ok(Answered(record.answer))
         return Ok(Attached(record))
 
+    def _add(self, submission_id: SubmissionId, fingerprint: str) -> Record:
+        record = Record(submission_id, fingerprint, self._clock() + self.settings.id_lifetime_s)
+        self.record_by_counter[submission_id.counter] = record
+        return record
+
+    def _is_expired(self, submission_id: SubmissionId) -> bool:
+        """Tell whether an id without a record may no longer start."""
+        return submission_id.counter <= self.low_water or self.issuer.is_single_use(submission_id)
+
     def _may_go(self, record: Record, now: float) -> bool:
         return record.forget_at <= now and record.submission_id.counter <= self.low_water
 
--- a/packages/state/tests/test_submission_table.py
+++ b/packages/state/tests/test_submission_table.py
@@ -227,3 +227,15 @@
     """Guard against a dropped answer being replaced by a larger one that counts again."""
     table, _ = run_steadily(make_answer(Outcome.COMPLETE, size), seconds=8, per_second=200)
     assert ANSWER_BYTES - size < table.stored_bytes <= ANSWER_BYTES
+
+
+def test_a_single_use_submission_leaves_no_record_and_never_starts_again() -> None:
+    """Guards against memory that grows with requests that cannot be sent again."""
+    table = SubmissionTable(IdIssuer("creamery", "entry-1"), TableSettings())
+    record = table.begin_single_use("print")
+    attached = table.begin(record.submission_id, "print")
+    assert isinstance(attached, Ok) and isinstance(attached.ok_value, Attached)
+    table.finish(record, Answer(Outcome.NOT_RUN, 503, "text/plain", b""))
+    assert not table.record_by_counter
+    again = table.begin(record.submission_id, "print")
+    assert isinstance(again, Err) and again.err_value.outcome is Outcome.OUTCOME_UNKNOWN
