Leave the last free slots of a worker to the processes that hold them

Cause: processes that see the same free slot on an answer all try it, and all but one are declined.

Ruled out: spare slots on executors, which queue and decline nothing.

--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -8,6 +8,10 @@
 # Age of load facts at which a server that seems full is tried again, by response weight 0 and 1.
 LONGEST_RETRY_AGE_S = 2.0
 SHORTEST_RETRY_AGE_S = 0.25
+# Slots that have to look free beyond the one needed, by response weight 0 and 1. Processes that
+# see the same free slot at the same time all try it, and all but one are declined.
+MOST_SPARE_SLOTS = 3.0
+LEAST_SPARE_SLOTS = 0.5
 
 
 @dataclass(slots=True)
@@ -78,13 +82,23 @@
     A server that seemed full long ago is tried again with one task, since nothing else brings
     news of a server on which this process runs nothing.
     """
-    if candidate.held_slots > 0 or candidate.free_slots >= 1:
+    if candidate.held_slots > 0:
+        return True
+    if candidate.free_slots >= 1 + _spare_slots(work):
         return True
     span_s = LONGEST_RETRY_AGE_S - SHORTEST_RETRY_AGE_S
     retry_age_s = LONGEST_RETRY_AGE_S - span_s * work.response_weight
     return candidate.own_active == 0 and work.now - candidate.load_at > retry_age_s
 
 
+def _spare_slots(work: Work) -> float:
+    if work.may_queue:
+        # A server that holds work beyond its slots declines nothing.
+        return 0.0
+    spread = MOST_SPARE_SLOTS - LEAST_SPARE_SLOTS
+    return MOST_SPARE_SLOTS - spread * work.response_weight
+
+
 class ServerChooser(Protocol):
     """Choose a backend server for one piece of work."""
 
--- a/packages/testbed/src/redwingport_testbed/bench/runs.py
+++ b/packages/testbed/src/redwingport_testbed/bench/runs.py
@@ -1,9 +1,12 @@
 """Run scenarios one after the other and write their reports."""
 
 import json
+import signal
+import sys
 import tempfile
 from collections.abc import Sequence
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 import anyio
@@ -35,6 +38,15 @@
     return report.as_json(), report
 
 
+def end_processes_on_sigterm() -> None:
+    """Turn SIGTERM into an exception, so that no subprocess of a run outlives it."""
+
+    def exit_run(number: int, frame: FrameType | None) -> None:
+        sys.exit(128 + number)
+
+    signal.signal(signal.SIGTERM, exit_run)
+
+
 def lay_out_fleet(scenario: Scenario) -> Fleet:
     """Lay out the deployment of a scenario on free ports."""
     return Fleet(deployment_of(scenario), free_base_port(), scenario.entries)
--- a/packages/testbed/tests/bench/test_policy_load.py
+++ b/packages/testbed/tests/bench/test_policy_load.py
@@ -44,3 +44,21 @@
     now = candidate.load_at + age_s
     assert has_room(candidate, work(now, response_weight))
     assert not has_room(candidate, work(candidate.load_at + age_s / 2, response_weight))
+
+
+@pytest.mark.parametrize(("response_weight", "free_slots"), [(1.0, 2), (0.0, 4)])
+def test_the_last_free_slot_is_left_to_others(response_weight: float, free_slots: int) -> None:
+    # Processes that all tried the same last free slot had all but one start declined.
+    candidate = Candidate("worker-01", "creamery", True, FULL)
+    observe_load(candidate, FULL - free_slots, 1.0)
+    assert has_room(candidate, work(1.0, response_weight))
+    observe_load(candidate, FULL - free_slots + 1, 1.0)
+    assert not has_room(candidate, work(1.0, response_weight))
+    candidate.held_slots = 1
+    assert has_room(candidate, work(1.0, response_weight))
+
+
+def test_a_server_that_queues_is_used_to_its_last_slot() -> None:
+    candidate = Candidate("executor-01", "creamery", True, 8)
+    observe_load(candidate, 7, 1.0)
+    assert has_room(candidate, Work(0.2, 1, 1.0, True, 0.0))
