Start waiting tasks in the order of their latest start

Cause: within a team tasks were ordered by the caller's deadline, which is the same for all tasks of a job, so the longest task of a job often started last and short jobs waited behind tasks of long jobs that had time. A task is now ordered by the time at which it has to start for its job to end at its ideal time.

Ruled out: shortest task first, which starves long jobs, and longest first over all jobs, which delays short jobs. The time-based order lets a task be overtaken only until its job is late.

--- a/packages/entry/src/redwingport_entry/gateways/connections.py
+++ b/packages/entry/src/redwingport_entry/gateways/connections.py
@@ -8,6 +8,7 @@
 import httpcore
 from anyio.abc import TaskGroup
 
+from redwingport_entry.gateways.transport import BatchedStream
 from redwingport_entry.logs import ROOT, log_event
 
 IDLE_TIMEOUT_S = 30.0
@@ -15,13 +16,52 @@
 
 logger = logging.getLogger(ROOT)
 
-Exchange = Callable[[httpcore.AsyncHTTPConnection], Awaitable[bool]]
+Exchange = Callable[["Connection"], Awaitable[bool]]
 
 
 class NotWrittenError(Exception):
     """Report that a request failed before its first byte was written."""
 
 
+class Connection:
+    """Hold one HTTP/1.1 connection, opened at its first use.
+
+    :param origin: the server.
+    """
+
+    def __init__(self, origin: httpcore.Origin) -> None:
+        self._origin = origin
+        self._http: httpcore.AsyncHTTP11Connection | None = None
+
+    async def request(self, request: httpcore.Request) -> httpcore.Response:
+        """Send a request and read the head of its response.
+
+        :raises NotWrittenError: when connecting failed, so that the server saw nothing.
+        """
+        if self._http is not None and (self._http.is_closed() or self._http.has_expired()):
+            await self.aclose()
+        if self._http is None:
+            self._http = await self._open()
+        return await self._http.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close the connection; the next request opens a new one."""
+        http, self._http = self._http, None
+        if http is not None:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await http.aclose()
+
+    async def _open(self) -> httpcore.AsyncHTTP11Connection:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(self._origin.host.decode(), self._origin.port)
+        except (OSError, TimeoutError) as error:
+            raise NotWrittenError(f"{type(error).__name__}: {error}") from error
+        return httpcore.AsyncHTTP11Connection(
+            self._origin, BatchedStream(stream), keepalive_expiry=IDLE_TIMEOUT_S * 2
+        )
+
+
 class _IdleConnection:
     """Hold the next exchange of a connection that waits for one."""
 
@@ -76,20 +116,16 @@
 
     async def _own_connection(self, first: Exchange) -> None:
         exchange: Exchange | None = first
-        connection = self._connect()
+        connection = Connection(self._origin)
         try:
             while exchange is not None:
-                if connection.is_closed() or connection.has_expired():
-                    await connection.aclose()
-                    connection = self._connect()
                 reusable = await _run_guarded(exchange, connection)
                 if not reusable:
                     await connection.aclose()
                 exchange = await self._next_exchange()
         finally:
             self.open -= 1
-            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
-                await connection.aclose()
+            await connection.aclose()
             if self._waiting and not self._closed:
                 self.submit(self._waiting.popleft())
 
@@ -108,11 +144,8 @@
             self._idle.remove(idle)
         return idle.exchange
 
-    def _connect(self) -> httpcore.AsyncHTTPConnection:
-        return httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=IDLE_TIMEOUT_S * 2)
-
 
-async def _run_guarded(exchange: Exchange, connection: httpcore.AsyncHTTPConnection) -> bool:
+async def _run_guarded(exchange: Exchange, connection: Connection) -> bool:
     """Run an exchange; an unexpected error costs its connection, not the process."""
     try:
         return await exchange(connection)
@@ -124,20 +157,19 @@
 
 
 async def send_request(
-    connection: httpcore.AsyncHTTPConnection,
+    connection: Connection,
     method: str,
     url: httpcore.URL,
     headers: list[tuple[bytes, bytes]],
     content: bytes,
-    read_timeout_s: float,
 ) -> httpcore.Response:
     """Send one request and read the head of its response.
 
-    :param read_timeout_s: longest silence while waiting for bytes, in seconds.
+    The caller bounds the time of the whole exchange.
+
     :returns: the response, whose body the caller reads and closes.
     :raises NotWrittenError: when connecting failed, so that the server saw nothing.
-    :raises httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError: when the
-        request may have been written.
+    :raises httpcore.NetworkError, httpcore.ProtocolError: when the request may have been written.
     """
     host = url.host if url.port is None else b"%b:%d" % (url.host, url.port)
     request = httpcore.Request(
@@ -145,18 +177,8 @@
         url,
         headers=[(b"host", host), (b"content-length", b"%d" % len(content)), *headers],
         content=content,
-        extensions={
-            "timeout": {
-                "connect": CONNECT_TIMEOUT_S,
-                "read": read_timeout_s,
-                "write": read_timeout_s,
-            }
-        },
     )
-    try:
-        return await connection.handle_async_request(request)
-    except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.ConnectionNotAvailable) as e:
-        raise NotWrittenError(f"{type(e).__name__}: {e}") from e
+    return await connection.request(request)
 
 
 async def read_body(response: httpcore.Response, limit: int) -> bytes | None:
--- a/packages/entry/src/redwingport_entry/gateways/executors.py
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -7,7 +7,12 @@
 import httpcore
 from result import Err, Ok, Result
 
-from redwingport_entry.gateways.connections import NotWrittenError, read_body, send_request
+from redwingport_entry.gateways.connections import (
+    Connection,
+    NotWrittenError,
+    read_body,
+    send_request,
+)
 from redwingport_entry.gateways.pool import ServerPool, decisions
 from redwingport_entry.gateways.servers import Server
 from redwingport_entry.logs import log_event
@@ -111,8 +116,9 @@
         """
         waiter.ticket = self.queue.push(waiter)
         self.dispatch()
-        with anyio.move_on_at(waiter.deadline):
-            await waiter.chosen.wait()
+        if waiter.server is None:
+            with anyio.move_on_at(waiter.deadline):
+                await waiter.chosen.wait()
         if waiter.server is None:
             self.queue.remove(waiter.ticket, waiter)
             if not self.server_by_id:
@@ -150,7 +156,7 @@
         done = anyio.Event()
         outcome: Answer | NotSent | Lost = NotSent(server.info.vm, "not tried")
 
-        async def run(connection: httpcore.AsyncHTTPConnection) -> bool:
+        async def run(connection: Connection) -> bool:
             nonlocal outcome
             outcome = Lost(server.info.vm, "the exchange failed")
             try:
@@ -170,7 +176,7 @@
         return outcome
 
     async def _send(
-        self, connection: httpcore.AsyncHTTPConnection, server: Server, attempt: Attempt
+        self, connection: Connection, server: Server, attempt: Attempt
     ) -> Answer | NotSent | Lost:
         submission = attempt.submission
         vm = server.info.vm
@@ -182,7 +188,7 @@
         server.view.start_by_task[key] = now
         try:
             with anyio.fail_after(remaining_s):
-                return await self._exchange(connection, server, attempt, remaining_s)
+                return await self._exchange(connection, server, attempt)
         except NotWrittenError as error:
             self.count_unreachable(server)
             return NotSent(vm, str(error))
@@ -195,10 +201,9 @@
 
     async def _exchange(
         self,
-        connection: httpcore.AsyncHTTPConnection,
+        connection: Connection,
         server: Server,
         attempt: Attempt,
-        remaining_s: float,
     ) -> Answer | NotSent | Lost:
         submission = attempt.submission
         headers = [
@@ -215,7 +220,6 @@
             server.url(f"/operations/{submission.operation}"),
             headers,
             submission.body,
-            remaining_s,
         )
         try:
             body = await read_body(response, MAX_ANSWER_BYTES)
--- a/packages/entry/src/redwingport_entry/gateways/job.py
+++ b/packages/entry/src/redwingport_entry/gateways/job.py
@@ -21,6 +21,7 @@
     :param document: the service document in force when the job arrived.
     :param tasks: the tasks.
     :param deadline: monotonic time by which the job has to end.
+    :param ideal_end_at: monotonic time at which it ends when nothing has to wait.
     :param results: results by task number.
     :param sent: tasks of which a start may have been written.
     :param problem: why the job ended without a complete answer.
@@ -32,6 +33,7 @@
     tasks: list[TaskBody]
     deadline: float
     max_answer_bytes: int
+    ideal_end_at: float = 0.0
     results: dict[int, Any] = field(default_factory=dict)
     result_bytes: int = 0
     sent: set[int] = field(default_factory=set)
@@ -105,8 +107,12 @@
 
     @property
     def deadline(self) -> float:
-        """Return the deadline of the job."""
-        return self.job.deadline
+        """Return the monotonic time by which the task has to start to delay its job by nothing.
+
+        The queue serves the least time first: the longest tasks of a job before the others,
+        which may wait until then, and a short job before a long one of the same age.
+        """
+        return min(self.job.ideal_end_at, self.job.deadline) - self.run_s
 
     @property
     def body(self) -> TaskBody:
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from redwingport_entry.exceptions import EntryError
-from redwingport_entry.gateways.connections import NotWrittenError, send_request
+from redwingport_entry.gateways.connections import Connection, NotWrittenError, send_request
 from redwingport_entry.gateways.job import Job, QueuedTask
 from redwingport_entry.gateways.lines import read_lines
 from redwingport_entry.gateways.pool import ServerPool, decisions, logger
@@ -38,6 +38,7 @@
     httpcore.TimeoutException,
     httpcore.ProtocolError,
     EntryError,
+    TimeoutError,
 )
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -70,8 +71,11 @@
 
     def add(self, job: Job) -> None:
         """Queue all tasks of a job and start what can be started now."""
-        for number, body in enumerate(job.tasks):
-            run_s = self.run_times.expected_s(job.document.name, body.expected_ms)
+        run_times = [
+            self.run_times.expected_s(job.document.name, body.expected_ms) for body in job.tasks
+        ]
+        job.ideal_end_at = self.clock() + max(run_times)
+        for number, run_s in enumerate(run_times):
             self._push(QueuedTask(job, number, run_s))
         self.dispatch()
 
@@ -162,14 +166,14 @@
             queued=self.queue.length,
         )
 
-        async def exchange(connection: httpcore.AsyncHTTPConnection) -> bool:
+        async def exchange(connection: Connection) -> bool:
             return await self._start(connection, server, job, tasks)
 
         server.connections.submit(exchange)
 
     async def _start(
         self,
-        connection: httpcore.AsyncHTTPConnection,
+        connection: Connection,
         server: Server,
         job: Job,
         tasks: list[QueuedTask],
@@ -184,7 +188,9 @@
             return True
         job.sent.update(pending)
         try:
-            return await self._exchange(connection, server, job, pending)
+            remaining_s = max(job.deadline - self.clock(), 0.0) + READ_GRACE_S
+            with anyio.fail_after(remaining_s):
+                return await self._exchange(connection, server, job, pending)
         except NotWrittenError as error:
             self.count_unreachable(server)
             job.sent.difference_update(pending)
@@ -198,7 +204,7 @@
 
     async def _exchange(
         self,
-        connection: httpcore.AsyncHTTPConnection,
+        connection: Connection,
         server: Server,
         job: Job,
         pending: dict[int, QueuedTask],
@@ -212,7 +218,6 @@
             server.url("/v1/starts"),
             _JSON_HEADERS,
             request.encode(),
-            max(job.deadline - sent_at, 0.0) + READ_GRACE_S,
         )
         try:
             if response.status != 200:
@@ -383,18 +388,13 @@
     def _stop(self, server: Server, submission: str, numbers: list[int]) -> None:
         content = json.dumps({"submission": submission, "tasks": numbers}).encode()
 
-        async def exchange(connection: httpcore.AsyncHTTPConnection) -> bool:
+        async def exchange(connection: Connection) -> bool:
             self.metrics.messages.labels("stop").inc()
             try:
-                response = await send_request(
-                    connection,
-                    "POST",
-                    server.url("/v1/stops"),
-                    _JSON_HEADERS,
-                    content,
-                    STOP_TIMEOUT_S,
-                )
-                await response.aread()
+                with anyio.fail_after(STOP_TIMEOUT_S):
+                    url = server.url("/v1/stops")
+                    response = await send_request(connection, "POST", url, _JSON_HEADERS, content)
+                    await response.aread()
             except (NotWrittenError, *LOST_WORKER_ERRORS):
                 return False
             return True
--- a/packages/policy/src/redwingport_policy/estimates.py
+++ b/packages/policy/src/redwingport_policy/estimates.py
@@ -6,6 +6,10 @@
 from redwingport_policy.base import Candidate
 
 RATIO_GAIN = 0.1
+# Callers may declare any time. Without the limits one declaration of a microsecond raises the
+# estimates of its service so far that all later work is refused as too late.
+MAX_FIRST_RATIO = 100.0
+MAX_RATIO_STEP = 10.0
 SLOWNESS_GAIN = 0.15
 MIN_SLOWNESS = 0.05
 MAX_SLOWNESS = 50.0
@@ -33,7 +37,10 @@
         """
         ratio = run_ms / max(declared_ms, 0.001)
         old = self._ratio_by_service.get(service)
-        new = ratio if old is None else old + RATIO_GAIN * (ratio - old)
+        if old is None:
+            new = min(ratio, MAX_FIRST_RATIO)
+        else:
+            new = old + RATIO_GAIN * (min(ratio, MAX_RATIO_STEP * old) - old)
         self._ratio_by_service[service] = max(new, 0.001)
 
     def learn_usage(self, report: UsageReport) -> None:
