Keep ended records small and close links that are no longer chosen

Cause, measured with slopes: a remembered submission took 2.5 KB, most of it two events nobody waits for any more; with 60 processes in 4 failure domains each held 59 links, because all seeds were dialled before the VM list arrived and accepted links were never closed. Ruled out: dropping seeds, which a VM that starts in a cut failure domain needs. Seeds are now tried three at a time and only while there is no list.

--- a/packages/entry/src/redwingport_entry/peers/link.py
+++ b/packages/entry/src/redwingport_entry/peers/link.py
@@ -57,6 +57,7 @@
         self.dialed = dialed
         self.leaving = False
         self.sent_at = 0.0
+        self.called_at = anyio.current_time()
         self.heartbeat: Heartbeat | None = None
         self._frames = frames
         self._silence_limit_s = silence_limit_s
@@ -154,6 +155,10 @@
             raise PeerError("query revision", self.peer.vm, "answered with another message")
         return answer.revision
 
+    def is_idle_since(self, moment: float) -> bool:
+        """Tell whether this process made no call on the link since a monotonic time."""
+        return not self._waiter_by_call and self.called_at < moment
+
     async def close(self) -> None:
         """Close the link and wake all who wait for answers."""
         if not self._closed.is_set():
@@ -165,6 +170,7 @@
     async def _call(
         self, call: int, message: Frame, deadline: float
     ) -> ForwardAnswer | RevisionAnswer:
+        self.called_at = anyio.current_time()
         waiter = self._waiter_by_call[call] = anyio.Event()
         try:
             await self.send(message)
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -1,6 +1,7 @@
 """The links of this process: whom to dial, and which link leads where."""
 
 import logging
+import random
 from collections import defaultdict
 from collections.abc import Iterator
 from functools import partial
@@ -26,6 +27,10 @@
 DIAL_INTERVAL_S = 0.25
 DIAL_TIMEOUT_S = 2.0
 LONGEST_BACKOFF_S = 4.0
+# The platform's list usually arrives first and makes seeds unnecessary.
+SEED_DELAY_S = 0.5
+SEEDS_AT_ONCE = 3
+UNWANTED_AFTER_S = 10.0
 
 logger = logging.getLogger(ROOT)
 
@@ -68,6 +73,7 @@
         self._supervisor = Supervisor(task_group, "peers")
         self._secret = settings.peers.secret.get_secret_value().encode()
         self._dialing: set[str] = set()
+        self._chosen_by_domain: dict[str, set[str]] = {}
         self._failures: dict[str, int] = defaultdict(int)
         self._retry_at: dict[str, float] = {}
 
@@ -98,9 +104,14 @@
 
     async def dial(self) -> None:
         """Open the links that are wanted and missing, on a timer."""
+        started_at = anyio.current_time()
         while True:
             now = anyio.current_time()
-            for name, host, port in self._wanted():
+            wanted = list(self._wanted())
+            if not self._membership.vm_list.vms and now - started_at >= SEED_DELAY_S:
+                wanted = self._seeds()
+            await self._close_unwanted(now)
+            for name, host, port in wanted:
                 if name not in self._dialing and self._retry_at.get(name, 0.0) <= now:
                     self._dialing.add(name)
                     self._supervisor.start(f"dial-{name}", partial(self._dial, name, host, port))
@@ -155,21 +166,36 @@
         for info in self._membership.of_kind(VmKind.ENTRY):
             if info.vm != own.name and info.peer_port:
                 infos_by_domain[info.domain].append(info)
-        if not self._membership.vm_list.vms:
-            for seed in self._settings.peers.seeds:
-                host, _, port = seed.rpartition(":")
-                if not any(link for link in self.links()):
-                    yield seed, host, int(port)
         for domain, infos in infos_by_domain.items():
             names = [info.vm for info in infos]
             if domain != own.domain:
                 size = self._settings.peers.links_per_domain
                 names = rendezvous_subset(own.name, names, size)
+            self._chosen_by_domain[domain] = set(names)
             for info in infos:
                 link = self.link_by_vm.get(info.vm)
                 if info.vm in names and (link is None or link.is_closed):
                     yield info.vm, info.host, info.peer_port
 
+    def _seeds(self) -> list[tuple[str, str, int]]:
+        """Return a few seeds to dial while nothing is known of the other VMs."""
+        seeds = list(self._settings.peers.seeds)
+        if any(True for _ in self.links()) or self._dialing:
+            return []
+        chosen = random.sample(seeds, min(SEEDS_AT_ONCE, len(seeds)))
+        parts = [(seed, *seed.rpartition(":")[::2]) for seed in chosen]
+        return [(seed, host, int(port)) for seed, host, port in parts]
+
+    async def _close_unwanted(self, now: float) -> None:
+        """Close links that this process opened for one call, or that are no longer chosen."""
+        if not self._membership.vm_list.vms:
+            return
+        for link in list(self.links()):
+            chosen = self._chosen_by_domain.get(link.peer.domain, set())
+            idle = link.is_idle_since(now - UNWANTED_AFTER_S)
+            if link.dialed and link.peer.vm not in chosen and idle:
+                await link.close()
+
     async def _dial(self, name: str, host: str, port: int) -> None:
         """Open one link and serve it; a failure delays the next try."""
         try:
--- a/packages/state/src/redwingport_state/submissions.py
+++ b/packages/state/src/redwingport_state/submissions.py
@@ -116,6 +116,9 @@
         self._ended: deque[Record] = deque()
         self._stored: deque[Record] = deque()
         self.stored_bytes = 0
+        self._set_event = anyio.Event()
+        self._set_event.set()
+        self._unset_event = anyio.Event()
 
     def issue(self) -> SubmissionId:
         """Issue a new submission id."""
@@ -181,8 +184,13 @@
             return
         record.answer = answer
         record.done.set()
+        # Nobody waits for an ended record, so it needs no events of its own; they took more
+        # memory than a short answer.
+        cancelled = record.cancelled.is_set()
+        record.done = self._set_event
+        record.cancelled = self._set_event if cancelled else self._unset_event
         single_use = self.issuer.is_single_use(record.submission_id)
-        if single_use or (answer.outcome is Outcome.NOT_RUN and not record.cancelled.is_set()):
+        if single_use or (answer.outcome is Outcome.NOT_RUN and not cancelled):
             self.record_by_counter.pop(record.submission_id.counter, None)
             return
         record.forget_at = self._clock() + self.settings.id_lifetime_s
