--- a/packages/entry/src/redwingport_entry/api/application.py
+++ b/packages/entry/src/redwingport_entry/api/application.py
@@ -45,12 +45,13 @@
     async def show_metrics(request: Request) -> Response:
         return Response(generate_latest(metrics.registry), media_type=CONTENT_TYPE_LATEST)
 
+    # Routes are matched in order, so those of callers come first.
     routes = [
+        *callers.routes(),
+        *operators.routes(),
         Route("/healthz", health),
         Route("/readyz", ready),
         Route("/metrics", show_metrics),
-        *callers.routes(),
-        *operators.routes(),
     ]
     handler = cast(ExceptionHandler, _internal_error)
     return Starlette(routes=routes, exception_handlers={Exception: handler})
--- a/packages/entry/src/redwingport_entry/api/callers.py
+++ b/packages/entry/src/redwingport_entry/api/callers.py
@@ -46,15 +46,15 @@
     def routes(self) -> list[Route]:
         """Return the routes."""
         return [
-            Route("/v1/submissions", self.issue, methods=["POST"]),
-            Route("/v1/submissions/{id}", self.read, methods=["GET"]),
-            Route("/v1/submissions/{id}", self.cancel, methods=["DELETE"]),
-            Route("/v1/services/{service}/jobs", self.submit_job, methods=["POST"]),
             Route(
                 "/v1/services/{service}/operations/{operation}",
                 self.submit_request,
                 methods=["POST"],
             ),
+            Route("/v1/services/{service}/jobs", self.submit_job, methods=["POST"]),
+            Route("/v1/submissions", self.issue, methods=["POST"]),
+            Route("/v1/submissions/{id}", self.read, methods=["GET"]),
+            Route("/v1/submissions/{id}", self.cancel, methods=["DELETE"]),
         ]
 
     async def issue(self, request: Request) -> Response:
--- a/packages/entry/src/redwingport_entry/platform.py
+++ b/packages/entry/src/redwingport_entry/platform.py
@@ -12,6 +12,7 @@
 
 from redwingport_entry.exceptions import PlatformError
 from redwingport_entry.gateways.connections import (
+    Connection,
     NotWrittenError,
     ServerConnections,
     read_body,
@@ -166,7 +167,7 @@
         reply, reason = _Reply(0, b"", b""), "no answer in time"
         self._metrics.messages.labels("platform").inc()
 
-        async def exchange(connection: httpcore.AsyncHTTPConnection) -> bool:
+        async def exchange(connection: Connection) -> bool:
             nonlocal reply, reason
             url = httpcore.URL(
                 scheme="http", host=self._base.host, port=self._base.port, target=path
@@ -176,10 +177,7 @@
                 headers.append((b"if-none-match", etag))
             try:
                 with anyio.fail_after(self._settings.timeout_s):
-                    timeout_s = self._settings.timeout_s
-                    response = await send_request(
-                        connection, method, url, headers, content, timeout_s
-                    )
+                    response = await send_request(connection, method, url, headers, content)
                     answer = await read_body(response, MAX_ANSWER_BYTES) or b""
                     await response.aclose()
                     reply = _Reply(response.status, answer, _etag(response))
--- a/packages/testbed/src/redwingport_testbed/main.py
+++ b/packages/testbed/src/redwingport_testbed/main.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Sequence
 
-from redwingport_testbed.commands import bench, demo, load, slopes, standins
+from redwingport_testbed.commands import bench, demo, echo, load, slopes, standins
 from redwingport_testbed.exceptions import TestbedError
 
 COMMAND_BY_NAME = {
@@ -12,6 +12,7 @@
     "demo": demo,
     "load": load,
     "bench": bench,
+    "echo": echo,
     "slopes": slopes,
 }
 
