--- a/packages/policy/src/redwingport_policy/ejection.py
+++ b/packages/policy/src/redwingport_policy/ejection.py
@@ -9,19 +9,46 @@
 WINDOW = 20
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 60.0
+# The longest ejection is reached before; without the limit the power overflows after 1,024.
+MAX_DOUBLINGS = 10
 MAX_EJECTED_SHARE = 0.3
 
 
 @dataclass(slots=True)
 class _History:
     in_a_row: int = 0
+    failures: int = 0
     ejections: int = 0
     on_trial: bool = False
-    window: deque[bool] = field(default_factory=lambda: deque(maxlen=WINDOW))
+    floor_until: float = 0.0
+    window: deque[bool] = field(default_factory=deque)
+
+    def add(self, succeeded: bool) -> None:
+        """Count one end; the sums replace a pass over the window at every end."""
+        if len(self.window) == WINDOW:
+            self.failures -= not self.window.popleft()
+        self.window.append(succeeded)
+        self.failures += not succeeded
+        self.in_a_row = 0 if succeeded else self.in_a_row + 1
+
+    def forget(self) -> None:
+        """Start the counts anew."""
+        self.window.clear()
+        self.failures = self.in_a_row = 0
+
+    def fails_too_often(self) -> bool:
+        """Tell whether the server should be ejected."""
+        if self.on_trial or self.in_a_row >= FAILURES_IN_A_ROW:
+            return True
+        return len(self.window) == WINDOW and self.failures > WINDOW // 2
 
 
 class Ejector:
-    """Eject servers with many failures, with backoff, one trial task and a floor."""
+    """Eject servers with many failures, with backoff, one trial task and a floor.
+
+    One of two or three servers may be ejected, although that is more than the share: a server
+    that fails at once would otherwise draw most of the work. The only server stays.
+    """
 
     def __init__(self) -> None:
         self._history_by_server: dict[str, _History] = {}
@@ -31,31 +58,31 @@
     ) -> bool:
         """Count the end of a task and eject the server if it fails too often.
 
+        Ends during an ejection are of tasks that started before it and count for nothing: they
+        must neither end the trial that is due nor prolong the ejection.
+
         :param candidate: the server.
         :param succeeded: whether the task was done.
         :param now: monotonic time, in seconds.
         :param servers: all servers, for the floor.
         :returns: whether the server was ejected by this call.
         """
+        if candidate.ejected_until > now:
+            return False
         history = self._history_by_server.setdefault(candidate.server_id, _History())
-        history.window.append(succeeded)
+        history.add(succeeded)
         if succeeded:
-            history.in_a_row = 0
             history.on_trial = False
-            if len(history.window) == WINDOW and all(history.window):
+            if len(history.window) == WINDOW and history.failures == 0:
                 history.ejections = 0
             return False
-        history.in_a_row += 1
-        if not self._fails_too_often(history) or candidate.ejected_until > now:
-            return False
-        ejected = sum(1 for server in servers if server.ejected_until > now)
-        if ejected + 1 > max(1, int(len(servers) * MAX_EJECTED_SHARE)):
+        if not history.fails_too_often() or self._at_floor(history, now, servers):
             return False
-        backoff = min(FIRST_EJECTION_S * 2**history.ejections, LONGEST_EJECTION_S)
-        candidate.ejected_until = now + backoff
+        doublings = min(history.ejections, MAX_DOUBLINGS)
+        candidate.ejected_until = now + min(FIRST_EJECTION_S * 2**doublings, LONGEST_EJECTION_S)
         history.ejections += 1
         history.on_trial = True
-        history.window.clear()
+        history.forget()
         return True
 
     def admits(self, candidate: Candidate, now: float) -> bool:
@@ -65,8 +92,15 @@
         history = self._history_by_server.get(candidate.server_id)
         return history is None or not history.on_trial or candidate.own_active == 0
 
-    def _fails_too_often(self, history: _History) -> bool:
-        if history.on_trial or history.in_a_row >= FAILURES_IN_A_ROW:
+    def _at_floor(self, history: _History, now: float, servers: list[Candidate]) -> bool:
+        # In an outage every end is a failure, so the servers are not counted again for each one
+        # before an ejection can have ended.
+        if history.floor_until > now:
             return True
-        failures = history.window.count(False)
-        return len(history.window) == WINDOW and failures > WINDOW // 2
+        remaining = [server.ejected_until for server in servers if not server.leaving]
+        ejected = [until for until in remaining if until > now]
+        share = max(1, int(len(remaining) * MAX_EJECTED_SHARE))
+        if len(ejected) + 1 <= min(share, len(remaining) - 1):
+            return False
+        history.floor_until = min([now + FIRST_EJECTION_S, *ejected])
+        return True
--- /dev/null
+++ b/packages/policy/tests/test_ejection.py
@@ -0,0 +1,139 @@
+"""Guard against servers that stay ejected, come back unproven or leave too few others."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from redwingport_policy.base import Candidate
+from redwingport_policy.ejection import FAILURES_IN_A_ROW, LONGEST_EJECTION_S, WINDOW, Ejector
+
+
+def make_servers(count: int) -> list[Candidate]:
+    return [Candidate(f"worker-{index}", "farm-office", True, 16) for index in range(count)]
+
+
+def fail_until_ejected(ejector: Ejector, servers: list[Candidate], now: float) -> float:
+    """Let the first server fail in a row; return how long it is ejected, in seconds."""
+    for _ in range(FAILURES_IN_A_ROW):
+        if ejector.record(servers[0], False, now, servers):
+            return servers[0].ejected_until - now
+    return 0.0
+
+
+ENDS = st.tuples(st.integers(0, 19), st.booleans(), st.sampled_from([0.0, 0.3, 1.0, 20.0]))
+
+
+@given(
+    st.integers(1, 20),
+    st.sets(st.integers(0, 19)),
+    st.lists(ENDS, max_size=30),
+    st.sampled_from([1, FAILURES_IN_A_ROW]),
+)
+def test_at_most_the_share_is_ejected(
+    count: int, leaving: set[int], ends: list[tuple[int, bool, float]], repeats: int
+) -> None:
+    """Guard against an outage of many servers ejecting those that are left."""
+    ejector, servers, now = Ejector(), make_servers(count), 0.0
+    for index in leaving & set(range(count)):
+        servers[index].leaving = True
+    stay = [server for server in servers if not server.leaving]
+    for index, succeeded, pause_s in ends:
+        now += pause_s
+        for _ in range(repeats):
+            ejector.record(servers[index % count], succeeded, now, servers)
+        ejected = [server for server in stay if server.ejected_until > now]
+        assert len(ejected) <= min(max(1, len(stay) * 3 // 10), max(0, len(stay) - 1))
+
+
+@pytest.mark.parametrize(
+    ("count", "leaving", "expected"),
+    [(1, 0, 0), (2, 0, 1), (3, 0, 1), (10, 0, 3), (24, 0, 7), (10, 4, 1), (2, 1, 0)],
+)
+def test_an_outage_ejects_the_share_of_the_servers_that_stay(
+    count: int, leaving: int, expected: int
+) -> None:
+    """Guard against ejecting the last server, and none of few."""
+    ejector, servers = Ejector(), make_servers(count)
+    for server in servers[count - leaving :]:
+        server.leaving = True
+    for server in servers[: count - leaving] * FAILURES_IN_A_ROW:
+        ejector.record(server, False, 0.0, servers)
+    assert sum(server.ejected_until > 0.0 for server in servers) == expected
+
+
+def test_a_place_below_the_floor_is_used_when_it_becomes_free() -> None:
+    """Guard against a failing server that the floor protects for ever."""
+    ejector, servers = Ejector(), make_servers(6)
+    for server in servers:
+        for _ in range(FAILURES_IN_A_ROW):
+            ejector.record(server, False, 0.0, servers)
+    assert [server.ejected_until for server in servers] == [1.0, 0.0, 0.0, 0.0, 0.0, 0.0]
+    ejector.record(servers[0], True, 1.0, servers)
+    assert ejector.record(servers[1], False, 1.0, servers)
+
+
+def test_over_half_of_the_window_ejects() -> None:
+    """Guard against a server that fails often but never many times in a row."""
+    ejector, servers = Ejector(), make_servers(10)
+    ends = [True, False, False, True, False] * 4
+    ejected = [ejector.record(servers[0], end, 0.0, servers) for end in ends]
+    assert ejected == [False] * (WINDOW - 1) + [True]
+    ejector.record(servers[0], True, 1.0, servers)
+    assert not ejector.record(servers[0], False, 1.0, servers), "the window starts anew"
+
+
+def test_half_of_the_window_does_not_eject() -> None:
+    """Guard against failures being counted that have left the window."""
+    ejector, servers = Ejector(), make_servers(10)
+    assert not any(ejector.record(servers[0], bool(i % 2), 0.0, servers) for i in range(200))
+
+
+def test_ejections_double_up_to_the_longest() -> None:
+    """Guard against a dead server being tried too often, and against an overflow."""
+    ejector, servers, now, spans = Ejector(), make_servers(10), 0.0, []
+    for _ in range(1_100):
+        spans.append(fail_until_ejected(ejector, servers, now))
+        now = servers[0].ejected_until
+    assert spans[:8] == [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 60.0, 60.0]
+    assert set(spans[6:]) == {LONGEST_EJECTION_S}
+
+
+def test_one_trial_task_decides() -> None:
+    """Guard against a full load on a server that has not proven itself."""
+    ejector, servers = Ejector(), make_servers(10)
+    fail_until_ejected(ejector, servers, 0.0)
+    assert not ejector.admits(servers[0], 0.9)
+    assert ejector.admits(servers[0], 1.0)
+    servers[0].own_active = 1
+    assert not ejector.admits(servers[0], 1.0)
+    assert ejector.record(servers[0], False, 1.0, servers), "a failed trial ejects at once"
+    assert not ejector.admits(servers[0], 2.9)
+
+
+def test_a_recovered_server_is_taken_back() -> None:
+    """Guard against a server that stays on trial or keeps its long ejection times."""
+    ejector, servers = Ejector(), make_servers(10)
+    fail_until_ejected(ejector, servers, 0.0)
+    fail_until_ejected(ejector, servers, 1.0)
+    ejector.record(servers[0], True, 4.0, servers)
+    servers[0].own_active = 16
+    assert ejector.admits(servers[0], 4.0)
+    assert not ejector.record(servers[0], False, 4.0, servers), "one failure is no longer enough"
+    for _ in range(WINDOW):
+        ejector.record(servers[0], True, 4.0, servers)
+    assert fail_until_ejected(ejector, servers, 4.0) == 1.0
+
+
+@pytest.mark.parametrize("succeeded", [True, False])
+def test_ends_of_older_tasks_do_not_count_during_an_ejection(succeeded: bool) -> None:
+    """Guard against older tasks ending the trial before it has begun, or failing it."""
+    ejector, servers = Ejector(), make_servers(10)
+    fail_until_ejected(ejector, servers, 0.0)
+    for _ in range(WINDOW):
+        assert not ejector.record(servers[0], succeeded, 0.5, servers)
+    assert servers[0].ejected_until == 1.0
+    servers[0].own_active = 1
+    assert not ejector.admits(servers[0], 1.0)
+    ejector.record(servers[0], True, 1.0, servers)
+    assert ejector.admits(servers[0], 1.0)
+    assert not ejector.record(servers[0], False, 1.0, servers)
