Test the cost of failures in an outage

Cause: the mutation that counts the ejected servers at every failure was the only one of the queue and of ejection that no test caught. Ruled out: a time limit, which would fail on a busy machine; the test counts the passes over the list of servers.

--- a/packages/policy/tests/test_ejection.py
+++ b/packages/policy/tests/test_ejection.py
@@ -1,5 +1,7 @@
 """Guard against servers that stay ejected, come back unproven or leave too few others."""
 
+from collections.abc import Iterator
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -72,6 +74,25 @@
     assert ejector.record(servers[1], False, 1.0, servers)
 
 
+class CountingList(list[Candidate]):
+    """Count the passes over a list."""
+
+    passes = 0
+
+    def __iter__(self) -> Iterator[Candidate]:
+        self.passes += 1
+        return super().__iter__()
+
+
+def test_the_servers_are_not_counted_at_every_failure_of_an_outage() -> None:
+    """Guard against a cost per failure that grows with the number of servers."""
+    ejector, servers = Ejector(), CountingList(make_servers(2))
+    for index in [0, 1] * 1_000:
+        ejector.record(servers[index], False, 0.0, servers)
+    assert servers[1].ejected_until == 0.0
+    assert servers.passes == 2
+
+
 def test_over_half_of_the_window_ejects() -> None:
     """Guard against a server that fails often but never many times in a row."""
     ejector, servers = Ejector(), make_servers(10)
