--- a/packages/testbed/src/redwingport_testbed/commands/slopes.py
+++ b/packages/testbed/src/redwingport_testbed/commands/slopes.py
@@ -9,6 +9,7 @@
 
 from redwingport_testbed.slopes.control import control_series
 from redwingport_testbed.slopes.memory import memory_series
+from redwingport_testbed.slopes.recovery import recovery_series
 from redwingport_testbed.slopes.series import TABLE_HEAD, Series
 from redwingport_testbed.slopes.starts import start_series
 
@@ -25,6 +26,7 @@
     "memory": _memory,
     "starts": start_series,
     "control": control_series,
+    "recovery": recovery_series,
 }
 
 
