Learn run times as a ratio of sums and speeds on a scale that is kept

Cause: run times are learned relative to speeds and speeds relative to run times, so their common scale kept what the first answers gave it; and with declared times off by up to 10 times the mean of plain ratios is far above the ratio of the work, so jobs were refused that would have been in time.

Ruled out: a gain adapted to the sign of the last errors (Trigg and Leach): in a trial it still could not tell speed 0.7 from 1.3 when declarations were off by 10 times, and the policy tests need 60 tasks to be enough for a changed speed. A gain of 0.01 for the ratio, which is too slow for the same tests.

--- a/packages/entry/src/redwingport_entry/gateways/executors.py
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -130,6 +130,7 @@
         """Dispatch on a timer: load facts fade without an event."""
         while True:
             await anyio.sleep(TICK_S)
+            self.normalize()
             if self.queue.length:
                 self.dispatch()
             self.metrics.queued.labels(f"executor:{self.service}").set(self.queue.length)
@@ -246,6 +247,7 @@
         if succeeded:
             learn_slowness(server.view, attempt.run_s, run_s)
             operation = attempt.submission.operation
+            # Requests declare no run time; the mean of the operation is what is learned.
             self.run_times.learn(operation, 1.0, run_s * 1000.0 / server.view.slowness)
 
     def _take_load(self, server: Server, text: str) -> None:
--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -15,7 +15,7 @@
 from redwingport_policy.backends import CHOOSER_BY_NAME
 from redwingport_policy.base import Candidate, Work, has_room
 from redwingport_policy.ejection import Ejector
-from redwingport_policy.estimates import fade_load
+from redwingport_policy.estimates import fade_load, normalize_slowness
 from redwingport_policy.subset import rendezvous_subset
 from redwingport_state.clock import Clock, monotonic
 from redwingport_state.membership import MembershipView
@@ -99,6 +99,10 @@
             self._refresh(server, now)
         return servers
 
+    def normalize(self) -> None:
+        """Keep the scale of the learned speeds."""
+        normalize_slowness(server.view for server in self.server_by_id.values())
+
     def choose(self, views: list[Candidate], work: Work) -> Server | None:
         """Choose a server: a local one while the failure domain has a free slot.
 
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -96,6 +96,7 @@
         """Dispatch on a timer: load facts fade and deadlines pass without an event."""
         while True:
             await anyio.sleep(TICK_S)
+            self.normalize()
             if self.queue.length:
                 self.dispatch()
             self.metrics.queued.labels("worker").set(self.queue.length)
--- a/packages/entry/src/redwingport_entry/runners/requests.py
+++ b/packages/entry/src/redwingport_entry/runners/requests.py
@@ -125,10 +125,7 @@
         )
 
     def _expected_run_s(self, name: str, operation: OperationSpec) -> float:
-        learned = self._executors.run_times.expected_s(name, 1.0)
-        # The learned value is in seconds per millisecond of declared time, 0.001 before
-        # the first answer.
-        return learned if learned != 0.001 else operation.expected_ms / 1000.0
+        return self._executors.run_times.mean_s(name) or operation.expected_ms / 1000.0
 
     def _refuse(
         self, document: ServiceDocument, submission: Submission, run_s: float
