Do not call a VM gone that was never listed

Cause, found in review: the list lags behind new VMs, so a resubmission of a new process's id was answered owner-gone with retryable false, although its owner runs. Ruled out: waiting for the next list before the answer, which holds the caller up. Result: only another incarnation at the VM or a drop from the list counts as gone; the new test fails on the version before.

--- a/packages/state/src/redwingport_state/membership.py
+++ b/packages/state/src/redwingport_state/membership.py
@@ -66,13 +66,13 @@
     def is_gone(self, vm: str, incarnation: str) -> bool:
         """Tell whether an incarnation is known to have ended.
 
-        It has when its VM answers with another incarnation. A VM that is missing from the
-        list is not enough while no list was received, as the list lags behind new VMs.
+        It has when its VM answers with another incarnation, or when the list has dropped its
+        VM. A VM that was never listed may be new, as the list lags.
         """
         current = self.incarnation_by_vm.get(vm)
         if current is not None:
             return current != incarnation
-        return bool(self.vm_list.vms) and vm not in self.info_by_vm
+        return vm in self.dropped
 
     def _is_new(self, vm_list: VmList) -> bool:
         if vm_list.version != self.vm_list.version:
--- a/packages/state/tests/test_exchange.py
+++ b/packages/state/tests/test_exchange.py
@@ -175,3 +175,10 @@
     view.apply(make_list(2, ["worker-1"]))
     assert view.is_gone("worker-2", "0a")
     assert view.weight_by_vm == {}
+
+
+def test_a_vm_that_was_never_listed_is_not_called_gone() -> None:
+    """Guard against a final answer for the id of a process that is not listed yet."""
+    view = MembershipView()
+    assert view.apply(make_list(1, ["worker-1"]))
+    assert not view.is_gone("worker-9", "0a")
