Try every slot that may be free once work is late

Cause: the spare slots that keep processes from declining each other stay free while jobs wait; at the dairy's weight that is up to 3 slots of 16, a fifth of the capacity. The longest age of load facts (1.6 s there) adds to it. Both now shrink with the lateness of the task at the head of the queue, to nothing after 0.02 s (Sala's end) to 0.2 s (the dairy's end).

Ruled out: fewer spare slots at all times, which brings back the declines of processes that need nothing.

--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -128,7 +128,9 @@
             and (not s.info.memory_mb or s.info.memory_mb >= body.memory_mb)
         ]
         weight = task.job.document.response_weight
-        return self.choose(views, Work(task.run_s, self.queue.length, now, False, weight))
+        late_s = now - task.deadline
+        work = Work(task.run_s, self.queue.length, now, False, weight, late_s)
+        return self.choose(views, work)
 
     def _push(self, task: QueuedTask) -> None:
         task.ticket = self.queue.push(task)
--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -12,6 +12,9 @@
 # see the same free slot at the same time all try it, and all but one are declined.
 MOST_SPARE_SLOTS = 3.0
 LEAST_SPARE_SLOTS = 0.5
+# Lateness of the work at which every slot that may be free is tried, by response weight 0 and 1.
+LONGEST_PATIENCE_S = 0.2
+SHORTEST_PATIENCE_S = 0.02
 
 
 @dataclass(slots=True)
@@ -67,6 +70,7 @@
     :param now: monotonic time, in seconds.
     :param may_queue: whether the server may hold the work beyond its slots.
     :param response_weight: 1 favours response time, 0 favours few messages.
+    :param late_s: time since the work had to start to be in time, in seconds.
     """
 
     run_s: float
@@ -74,6 +78,14 @@
     now: float
     may_queue: bool
     response_weight: float = 0.5
+    late_s: float = 0.0
+
+    @property
+    def patience(self) -> float:
+        """Return 1 for work that is in time, and less down to 0 the later it is."""
+        span_s = LONGEST_PATIENCE_S - SHORTEST_PATIENCE_S
+        patience_s = LONGEST_PATIENCE_S - span_s * self.response_weight
+        return min(1.0, max(0.0, 1.0 - self.late_s / patience_s))
 
 
 def has_room(candidate: Candidate, work: Work) -> bool:
@@ -88,6 +100,7 @@
         return True
     span_s = LONGEST_RETRY_AGE_S - SHORTEST_RETRY_AGE_S
     retry_age_s = LONGEST_RETRY_AGE_S - span_s * work.response_weight
+    retry_age_s = max(SHORTEST_RETRY_AGE_S, retry_age_s * work.patience)
     return candidate.own_active == 0 and work.now - candidate.load_at > retry_age_s
 
 
@@ -96,7 +109,7 @@
         # A server that holds work beyond its slots declines nothing.
         return 0.0
     spread = MOST_SPARE_SLOTS - LEAST_SPARE_SLOTS
-    return MOST_SPARE_SLOTS - spread * work.response_weight
+    return (MOST_SPARE_SLOTS - spread * work.response_weight) * work.patience
 
 
 class ServerChooser(Protocol):
--- a/packages/testbed/tests/bench/test_policy_load.py
+++ b/packages/testbed/tests/bench/test_policy_load.py
@@ -62,3 +62,19 @@
     candidate = Candidate("executor-01", "creamery", True, 8)
     observe_load(candidate, 7, 1.0)
     assert has_room(candidate, Work(0.2, 1, 1.0, True, 0.0))
+
+
+def test_late_work_tries_the_last_free_slot() -> None:
+    # Slots that every process left to the others stayed free while jobs waited for seconds.
+    candidate = Candidate("worker-01", "creamery", True, FULL)
+    observe_load(candidate, FULL - 1, 1.0)
+    assert not has_room(candidate, Work(0.2, 1, 1.0, False, 0.0, late_s=0.05))
+    assert has_room(candidate, Work(0.2, 1, 1.0, False, 0.0, late_s=0.2))
+    assert has_room(candidate, Work(0.2, 1, 1.0, False, 1.0, late_s=0.02))
+
+
+def test_late_work_tries_a_server_without_news_sooner() -> None:
+    candidate = busy_candidate()
+    now = candidate.load_at + 0.3
+    assert not has_room(candidate, Work(0.2, 1, now, False, 0.0))
+    assert has_room(candidate, Work(0.2, 1, now, False, 0.0, late_s=0.2))
