Stop placing tasks whose deadline has passed

Cause: a process that was frozen past a job's deadline and went on took each task from the queue, placed it, found the deadline passed, queued and placed it again, without ever yielding to the timer that ends the job; seven such processes were found at 100 % of a core, the oldest for 25 minutes. Ruled out: a failing platform or worker, which back off. Tasks past their deadline are now dropped, a connection yields between exchanges, and a server on trial gets one task per pass. Before: the new test runs into its time-out. After: 3 tests pass in 1.0 s.

--- a/packages/entry/src/redwingport_entry/gateways/connections.py
+++ b/packages/entry/src/redwingport_entry/gateways/connections.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.lowlevel
 import httpcore
 from anyio.abc import TaskGroup
 
@@ -123,6 +124,8 @@
                 if not reusable:
                     await connection.aclose()
                 exchange = await self._next_exchange()
+                # An exchange may end without waiting for anything; other tasks get their turn.
+                await anyio.lowlevel.checkpoint()
         finally:
             self.open -= 1
             await connection.aclose()
--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -94,7 +94,7 @@
 
     def usable(self, now: float) -> list[Server]:
         """Return the servers that may get new work, with their load facts faded to now."""
-        servers = [server for server in self.server_by_id.values() if self._usable(server, now)]
+        servers = [server for server in self.server_by_id.values() if self.may_use(server, now)]
         for server in servers:
             self._refresh(server, now)
         return servers
@@ -136,7 +136,8 @@
         """Note that connecting failed, so that the server is not tried again at once."""
         server.unreachable_until = self.clock() + UNREACHABLE_S
 
-    def _usable(self, server: Server, now: float) -> bool:
+    def may_use(self, server: Server, now: float) -> bool:
+        """Tell whether a server may get new work."""
         view = server.view
         if view.leaving or server.unreachable_until > now:
             return False
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -114,11 +114,17 @@
         servers = self.usable(now)
         while (head := self.queue.peek()) is not None:
             _, task = head
+            if task.deadline <= now:
+                self._take(task)
+                continue
             server = self._choose(servers, task, now)
             if server is None:
                 break
             self._take(task)
             self._reserve(server, task, now)
+            if not self.may_use(server, now):
+                # A server on trial gets one task.
+                servers.remove(server)
             batches[task.job.submission, server.info.vm].append(task)
         for (_, vm), tasks in batches.items():
             for first in range(0, len(tasks), MAX_BATCH):
@@ -193,8 +199,13 @@
         :returns: whether the connection may be used again.
         """
         pending = {task.number: task for task in tasks}
-        if job.is_ended or self.clock() >= job.deadline or server.view.leaving:
-            self._requeue(server, list(pending.values()))
+        if job.is_ended or self.clock() >= job.deadline:
+            # The runner ends the job. Tasks queued again would be placed again at once, in a
+            # loop that never lets the runner's timer fire.
+            self._release_all(server, tasks)
+            return True
+        if server.view.leaving:
+            self._requeue(server, tasks)
             return True
         job.sent.update(pending)
         try:
@@ -353,6 +364,10 @@
             detail = f"The results exceed {job.max_answer_bytes} bytes."
             job.end(failed("answer-too-large", detail, step="collect results"))
 
+    def _release_all(self, server: Server, tasks: list[QueuedTask]) -> None:
+        for task in tasks:
+            self._release(server, task)
+
     def _requeue(self, server: Server, tasks: list[QueuedTask]) -> None:
         for task in tasks:
             self._release(server, task)
--- /dev/null
+++ b/packages/entry/tests/test_worker_pool.py
@@ -0,0 +1,79 @@
+"""Guard against a worker pool that keeps the event loop to itself."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import pytest
+
+from redwingport_entry.gateways.job import Job
+from redwingport_entry.gateways.workers import WorkerPool
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.settings import Settings, check_settings
+from redwingport_messages.documents import JobSpec, ServiceDocument
+from redwingport_messages.submissions import TaskBody
+from redwingport_messages.vms import VmInfo, VmKind
+from redwingport_state.membership import MembershipView
+
+SECTIONS = {
+    "entry": {
+        "name": "entry-1",
+        "domain": "creamery",
+        "http_host": "127.0.0.1",
+        "http_port": "8001",
+        "peer_host": "127.0.0.1",
+        "peer_port": "9001",
+    },
+    "platform": {"url": "http://127.0.0.1:8000"},
+    "peers": {"secret": "0123456789abcdef"},
+}
+WORKER = VmInfo(
+    vm="worker-1",
+    kind=VmKind.WORKER,
+    domain="creamery",
+    host="127.0.0.1",
+    port=9,
+    slots=16,
+    cpus=16,
+    memory_mb=1024,
+)
+
+
+async def _with_pool(use: Callable[[WorkerPool], Any]) -> None:
+    settings: Settings = check_settings(SECTIONS).unwrap()
+    async with anyio.create_task_group() as task_group:
+        pool = WorkerPool(task_group, settings, MembershipView(), Metrics(), lambda vm: None)
+        pool.prepare("0" * 16)
+        pool.sync([WORKER], lambda info: 1)
+        with anyio.fail_after(10):
+            await use(pool)
+        task_group.cancel_scope.cancel()
+
+
+def _job(pool: WorkerPool, deadline: float) -> Job:
+    document = ServiceDocument(name="route-build", team="dairy", jobs=JobSpec())
+    return Job("id", document, [TaskBody() for _ in range(100)], deadline, 1000)
+
+
+@pytest.mark.parametrize("late_s", [0.0, -1.0])
+def test_tasks_past_their_deadline_are_not_placed_again_and_again(late_s: float) -> None:
+    """A process that was frozen past a job's deadline span for ever when it went on."""
+
+    async def use(pool: WorkerPool) -> None:
+        pool.add(_job(pool, pool.clock() + late_s))
+        await anyio.sleep(0.2)
+        assert pool.queue.length == 0
+        assert pool.server_by_id["worker-1"].view.own_active == 0
+
+    anyio.run(_with_pool, use)
+
+
+def test_a_deadline_that_passes_before_the_connection_is_free_releases_the_slots() -> None:
+    async def use(pool: WorkerPool) -> None:
+        job = _job(pool, pool.clock() + 60)
+        pool.add(job)
+        job.deadline = pool.clock() - 1
+        await anyio.sleep(0.2)
+        assert pool.server_by_id["worker-1"].view.own_active == 0
+
+    anyio.run(_with_pool, use)
