Do not look at the workers when nothing waits, and drop by the job's deadline

Cause, profiled: each task end faded the load facts of all 24 workers although the queue was empty, 0.54 s of 5.58 s for 3,300 tasks. Ruled out: fading on a timer only, which makes choices older.

--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -109,12 +109,14 @@
 
     def dispatch(self) -> None:
         """Start waiting tasks on free workers, in the order of the queue."""
+        if not self.queue.length:
+            return
         now = self.clock()
         batches: dict[tuple[str, str], list[QueuedTask]] = defaultdict(list)
         servers = self.usable(now)
         while (head := self.queue.peek()) is not None:
             _, task = head
-            if task.deadline <= now:
+            if task.job.deadline <= now:
                 self._take(task)
                 continue
             server = self._choose(servers, task, now)
