--- a/packages/testbed/src/redwingport_testbed/commands/slopes.py
+++ b/packages/testbed/src/redwingport_testbed/commands/slopes.py
@@ -8,6 +8,7 @@
 import anyio
 
 from redwingport_testbed.slopes.control import control_series
+from redwingport_testbed.slopes.decisions import decision_series
 from redwingport_testbed.slopes.memory import memory_series
 from redwingport_testbed.slopes.recovery import recovery_series
 from redwingport_testbed.slopes.series import TABLE_HEAD, Series
@@ -22,9 +23,14 @@
     return memory_series(quick)
 
 
+async def _decisions(quick: bool) -> Rows:
+    return decision_series(quick)
+
+
 MEASUREMENT_BY_NAME: dict[str, Callable[[bool], Awaitable[Rows]]] = {
     "memory": _memory,
     "starts": start_series,
+    "decisions": _decisions,
     "control": control_series,
     "recovery": recovery_series,
 }
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/slopes/decisions.py
@@ -0,0 +1,80 @@
+"""Processor time of one decision against the backend servers and the teams to choose from."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from redwingport_policy.backends import CHOOSER_BY_NAME
+from redwingport_policy.base import Candidate, Work
+from redwingport_policy.fair_queue import FairQueue
+from redwingport_testbed.slopes.series import Series
+
+SEED = 3
+REPEATS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class _Item:
+    team: str
+    deadline: float
+    run_s: float
+
+
+def decision_series(quick: bool) -> list[tuple[Series, float]]:
+    """Measure the choice of a server and the choice of the next task.
+
+    :param quick: repeat less, for a test of the tool.
+    :returns: series of microseconds, and the planned sizes.
+    """
+    count = 200 if quick else 5000
+    servers = [(float(n), _choice_us(n, count)) for n in (16, 32, 64, 128)]
+    teams = [(float(n), _queue_us(n, count)) for n in (10, 20, 40, 80)]
+    return [
+        (Series("choice of a server, us", "servers", tuple(servers)), 128),
+        (Series("choice of a task, us", "teams", tuple(teams)), 80),
+    ]
+
+
+def _choice_us(servers: int, count: int) -> float:
+    rng = random.Random(SEED)
+    chooser = CHOOSER_BY_NAME["completion-time"](rng)
+    candidates = [
+        Candidate(
+            server_id=f"worker-{number}",
+            domain="creamery",
+            local=number % 2 == 0,
+            slots=16,
+            own_active=rng.randrange(8),
+            other_active=float(rng.randrange(10)),
+            slowness=rng.choice((0.6, 0.8, 1.0, 1.5, 2.5)),
+        )
+        for number in range(servers)
+    ]
+    work = Work(run_s=0.2, queued=10, now=0.0, may_queue=False, mean_run_s=0.2)
+    return _least_us(lambda: chooser.choose(candidates, work), count)
+
+
+def _queue_us(teams: int, count: int) -> float:
+    queue: FairQueue[_Item] = FairQueue({})
+    for number in range(teams * 20):
+        queue.push(_Item(f"team-{number % teams}", float(number), 0.2))
+
+    def serve() -> None:
+        head = queue.peek()
+        assert head is not None
+        queue.take(head[1])
+        queue.push(head[1])
+
+    return _least_us(serve, count)
+
+
+def _least_us(call: Callable[[], object], count: int) -> float:
+    """Return the least mean time of several rounds, in microseconds."""
+    least_s = float("inf")
+    for _ in range(REPEATS):
+        started_at = time.process_time()
+        for _ in range(count):
+            call()
+        least_s = min(least_s, time.process_time() - started_at)
+    return least_s / count * 1e6
