Compute waits from the slots that other processes leave

Cause: the expected wait was computed from all slots of all workers, of which a process gets its part, and without the job's own tasks; above the capacity several times too much was admitted and ended at its deadline after it had used slots. Requests were admitted until the mean run time just fitted, so those on a slow executor ended as outcome-unknown.

Ruled out: dropping requests at dispatch, which makes late refusals of them.

--- a/packages/entry/src/redwingport_entry/gateways/executors.py
+++ b/packages/entry/src/redwingport_entry/gateways/executors.py
@@ -106,10 +106,8 @@
 
     def expected_wait_s(self, run_s: float) -> float:
         """Estimate how long a new request waits, in seconds."""
-        slots = sum(s.view.slots for s in self.server_by_id.values() if not s.view.leaving)
-        others = sum(s.view.other_active for s in self.server_by_id.values())
-        own_share = max(slots - others, 1.0)
-        return self.queue.run_s / own_share if slots else 0.0
+        speed = self.own_speed()
+        return self.queue.run_s / speed if speed else 0.0
 
     async def acquire(self, waiter: Waiter) -> Result[Server, str]:
         """Wait until an executor is chosen.
--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -99,6 +99,18 @@
             self._refresh(server, now)
         return servers
 
+    def own_speed(self) -> float:
+        """Return the work that this process can have done in a second, in mean slots.
+
+        Slots that others use are not counted: at high load the servers are shared, and a wait
+        computed from all slots is too short by the number of processes.
+        """
+        views = [server.view for server in self.server_by_id.values() if not server.view.leaving]
+        if not views:
+            return 0.0
+        own = sum(max(0.0, view.slots - view.other_active) / view.slowness for view in views)
+        return max(own, 1.0)
+
     def normalize(self) -> None:
         """Keep the scale of the learned speeds."""
         normalize_slowness(server.view for server in self.server_by_id.values())
--- a/packages/entry/src/redwingport_entry/gateways/workers.py
+++ b/packages/entry/src/redwingport_entry/gateways/workers.py
@@ -70,10 +70,8 @@
         :param run_s: run time of the work, all tasks together, in seconds.
         :returns: seconds until the queue and this work have been started.
         """
-        slots = sum(s.view.slots for s in self.server_by_id.values() if not s.view.leaving)
-        if slots == 0:
-            return 0.0
-        return self.queue.run_s / slots
+        speed = self.own_speed()
+        return (self.queue.run_s + run_s) / speed if speed else 0.0
 
     def add(self, job: Job) -> None:
         """Queue all tasks of a job and start what can be started now."""
--- a/packages/entry/src/redwingport_entry/runners/requests.py
+++ b/packages/entry/src/redwingport_entry/runners/requests.py
@@ -24,6 +24,8 @@
 from redwingport_state.submissions import Record, cancelled_before_start
 
 MAX_UNSENT_ATTEMPTS = 10
+# Requests declare no run time, and a request that is sent too late ends as outcome-unknown.
+RUN_TIME_MARGIN = 2.0
 
 
 class RequestRunner:
@@ -135,7 +137,7 @@
             executors.queue.length + 1,
             min(document.queue_limit, executors.settings.limits.queue_limit),
             executors.expected_wait_s(run_s),
-            run_s,
+            run_s * RUN_TIME_MARGIN,
             submission.deadline - executors.clock(),
         )
         return None if problem is None else answer_of_problem(problem)
--- /dev/null
+++ b/packages/testbed/tests/bench/test_policy_admission.py
@@ -0,0 +1,93 @@
+"""Check what is placed and what is refused when a process has more work than slots."""
+
+from typing import Any, cast
+
+import pytest
+
+from redwingport_entry.gateways.job import Job, QueuedTask
+from redwingport_entry.gateways.servers import Server
+from redwingport_entry.gateways.workers import WorkerPool
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.settings import check_settings
+from redwingport_messages.documents import JobSpec, ServiceDocument
+from redwingport_messages.submissions import TaskBody
+from redwingport_messages.vms import VmInfo, VmKind
+from redwingport_state.membership import MembershipView
+from redwingport_testbed.standins.fleet import DEPLOYMENT_BY_NAME, Fleet
+
+DOCUMENT = ServiceDocument(name="route-build", team="dairy", jobs=JobSpec())
+SLOTS = 16
+
+
+class PlacingPool(WorkerPool):
+    """Record what would be sent instead of sending it."""
+
+    now = 100.0
+    placed: list[int]
+
+    def _submit(self, server: Server, tasks: list[QueuedTask]) -> None:
+        self.placed += [task.number for task in tasks]
+
+
+class NoConnections:
+    limit = 60
+    open = 0
+
+    def close_idle(self) -> None:
+        """Close nothing."""
+
+
+def make_pool(other_active: float) -> PlacingPool:
+    """Return a pool with one worker of which others use some slots."""
+    fleet = Fleet(DEPLOYMENT_BY_NAME["dairy"], 20_000)
+    vm = fleet.entry_vms()[0]
+    sections = fleet._sections(vm, cast(Any, ""))
+    sections["log"] = {}
+    settings = check_settings(sections).unwrap()
+    pool = PlacingPool(
+        cast(Any, None), settings, MembershipView(), Metrics(), lambda vm: None, lambda: pool.now
+    )
+    pool.prepare("0" * 16)
+    pool.placed = []
+    info = VmInfo(
+        vm="worker-01", kind=VmKind.WORKER, domain="creamery", region="county",
+        host="127.0.0.1", port=1, slots=SLOTS, cpus=SLOTS, memory_mb=1024,
+    )  # fmt: skip
+    server = pool._new_server(info)
+    server.connections = cast(Any, NoConnections())
+    server.view.other_active = server.view.reported_other = server.view.mean_other = other_active
+    server.view.load_at = pool.now
+    pool.server_by_id["worker-01"] = server
+    return pool
+
+
+def make_job(deadline: float) -> Job:
+    return Job("job-1", DOCUMENT, [TaskBody(expected_ms=200)], deadline, 1024)
+
+
+def test_a_task_that_is_late_for_the_ideal_is_still_placed() -> None:
+    # The order of the queue is by latest start, which is no limit; only the job's deadline is.
+    pool = make_pool(other_active=SLOTS)
+    pool.add(make_job(deadline=160.0))
+    assert pool.placed == []
+    pool.now += 2.0
+    pool.server_by_id["worker-01"].view.held_slots = 1
+    pool.server_by_id["worker-01"].held_deadline = pool.now + 1.0
+    pool.dispatch()
+    assert pool.placed == [0]
+
+
+def test_a_task_past_the_deadline_of_its_job_is_not_placed() -> None:
+    pool = make_pool(other_active=SLOTS)
+    pool.add(make_job(deadline=101.0))
+    pool.now += 2.0
+    pool.server_by_id["worker-01"].view.held_slots = 1
+    pool.server_by_id["worker-01"].held_deadline = pool.now + 1.0
+    pool.dispatch()
+    assert pool.placed == []
+
+
+def test_expected_wait_counts_only_the_slots_that_others_leave() -> None:
+    # A wait computed from all slots admitted several times what a process could do in time.
+    assert make_pool(other_active=0).expected_wait_s(32.0) == pytest.approx(2.0)
+    assert make_pool(other_active=12).expected_wait_s(32.0) == pytest.approx(8.0)
