--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -155,6 +155,9 @@
         ][:3]
 
     def _is_gone(self, submission_id: SubmissionId) -> bool:
+        # An id of this VM that is not of this process belongs to an earlier process.
+        if submission_id.vm == self.mesh.own_name:
+            return True
         return self._membership.is_gone(submission_id.vm, submission_id.incarnation)
 
     async def _call(
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/cluster/ledger.py
@@ -0,0 +1,43 @@
+"""Add up what fault tests saw, per promise."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+VIOLATIONS = ("duplicates", "partial", "false_not_run")
+
+
+@dataclass(slots=True)
+class Row:
+    """Hold the sums of one promise.
+
+    :param faults: faults that were brought about, in the order of the tests.
+    :param counts: starts counted by the stand-ins, answers, and the violations found.
+    """
+
+    faults: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+
+
+class Ledger:
+    """Hold one row per promise."""
+
+    def __init__(self) -> None:
+        self.row_by_promise: dict[str, Row] = defaultdict(Row)
+
+    def add(self, promise: str, faults: tuple[str, ...], counts: Counter[str]) -> None:
+        """Add the faults and the counts of one test."""
+        row = self.row_by_promise[promise]
+        row.faults.extend(fault for fault in faults if fault not in row.faults)
+        row.counts.update(counts)
+
+    def lines(self) -> list[str]:
+        """Return one line per promise."""
+        return [
+            f"{promise}: {len(row.faults)} faults ({', '.join(row.faults)}); "
+            f"{row.counts['starts']} starts, {row.counts['answers']} answers; "
+            + ", ".join(f"{row.counts[name]} {name.replace('_', ' ')}" for name in VIOLATIONS)
+            for promise, row in sorted(self.row_by_promise.items())
+        ]
+
+
+ledger = Ledger()
--- /dev/null
+++ b/packages/testbed/tests/faults/conftest.py
@@ -0,0 +1,13 @@
+"""Print one line per promise after the fault tests."""
+
+import pytest
+
+from redwingport_testbed.cluster.ledger import ledger
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    lines = ledger.lines()
+    if lines:
+        terminalreporter.section("promises")
+        for line in lines:
+            terminalreporter.write_line(line)
