Give the admission tests a directory that is a path

Ruled out: a fault of the code under test; none of the tests reached it.

Result: 3 failed -> 3 passed.

--- a/packages/testbed/tests/bench/test_policy_admission.py
+++ b/packages/testbed/tests/bench/test_policy_admission.py
@@ -1,5 +1,6 @@
 """Check what is placed and what is refused when a process has more work than slots."""
 
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
@@ -41,7 +42,7 @@
     """Return a pool with one worker of which others use some slots."""
     fleet = Fleet(DEPLOYMENT_BY_NAME["dairy"], 20_000)
     vm = fleet.entry_vms()[0]
-    sections = fleet._sections(vm, cast(Any, ""))
+    sections = fleet._sections(vm, Path("unused"))
     sections["log"] = {}
     settings = check_settings(sections).unwrap()
     pool = PlacingPool(
