--- a/packages/entry/src/redwingport_entry/configuration.py
+++ b/packages/entry/src/redwingport_entry/configuration.py
@@ -148,23 +148,29 @@
         written = await self._write(op)
         if isinstance(written, Err):
             return written
-        result = written.ok_value
+        result, was_repeated = written.ok_value
         if not result.applied and not self._is_ours(result, text, expected_revision):
+            if was_repeated and result.revision > expected_revision + 1:
+                return Err(_replaced(document.name, result.revision))
             return Err(_conflict(document.name, expected_revision, result.revision))
         self.take(result.revision, text, "operator")
         return Ok(StoredDocument(result.revision, document))
 
-    async def _write(self, op: TableOp) -> Result[TableResult, Problem]:
+    async def _write(self, op: TableOp) -> Result[tuple[TableResult, bool], Problem]:
         """Send a write until its answer arrives.
 
         Repeating it is safe: a compare-and-set that took effect fails the second time, and the
-        answer then carries the row that the first one wrote.
+        answer then carries the row that the first one wrote, or a later one.
+
+        :returns: the result, and whether the write was sent more than once.
         """
         deadline = anyio.current_time() + CHANGE_TIMEOUT_S
+        was_repeated = False
         while True:
             try:
-                return Ok((await self._platform.transact([op]))[0])
+                return Ok(((await self._platform.transact([op]))[0], was_repeated))
             except PlatformError as error:
+                was_repeated = True
                 if anyio.current_time() >= deadline:
                     return Err(_undecided(error))
                 await anyio.sleep(RETRY_S)
@@ -180,6 +186,18 @@
     return not_run(412, "revision-conflict", detail, step="write document", peer="platform")
 
 
+def _replaced(name: str, actual: int) -> Problem:
+    """Describe a write whose first answer was lost and whose row has changed further since."""
+    return outcome_unknown(
+        "change-undecided",
+        f"The answer to the write was lost, and the service {name} now has revision {actual}; "
+        "the change may have been in force before.",
+        status=409,
+        step="write document",
+        peer="platform",
+    )
+
+
 def _unreachable(error: PlatformError) -> Problem:
     return not_run(
         503,
--- a/packages/testbed/src/redwingport_testbed/cluster/without.py
+++ b/packages/testbed/src/redwingport_testbed/cluster/without.py
@@ -1,5 +1,6 @@
 """Run the entry process without one mechanism, to show that a test notices its absence."""
 
+import os
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -8,10 +9,18 @@
 from result import Ok
 
 from redwingport_entry import main as entry_main
+from redwingport_entry import process
+from redwingport_entry.configuration import Configuration
+from redwingport_entry.gateways.executors import ExecutorPool, Lost, NotSent
 from redwingport_entry.keys import KeyRecords
+from redwingport_entry.process import EntryProcess
+from redwingport_entry.runners.requests import RequestRunner
 from redwingport_entry.submissions import Submissions
+from redwingport_messages.documents import StoredDocument
 from redwingport_messages.ids import SubmissionId
 from redwingport_messages.submissions import Submission
+from redwingport_policy.retry_budget import RetryBudget
+from redwingport_state.documents import DocumentStore
 from redwingport_state.submissions import Record, Started, SubmissionTable
 
 
@@ -74,6 +83,63 @@
     _set(KeyRecords, "_send", send)
 
 
+def _revision_order() -> None:
+    """Take every revision that is offered."""
+
+    def offer(self: DocumentStore, stored: StoredDocument) -> bool:
+        known = self.stored_by_name.get(stored.name) == stored
+        self.stored_by_name[stored.name] = stored
+        return not known
+
+    _set(DocumentStore, "offer", offer)
+
+
+def _write_read_back() -> None:
+    """Take a repeated write that did not apply for the write of another."""
+    _set(Configuration, "_is_ours", lambda self, result, text, expected: False)
+
+
+def _drain() -> None:
+    """End at once instead of draining."""
+    _set(EntryProcess, "start_drain", lambda self: os._exit(0))
+
+
+def _drain_wait() -> None:
+    """End without waiting for the submissions in progress."""
+
+    async def wait_for_runs(submissions: Any, timeout_s: float) -> None:
+        submissions.closed = True
+
+    _set(process, "wait_for_runs", wait_for_runs)
+
+
+def _lost_is_unknown() -> None:
+    """Take every broken exchange with an executor for one that was not written."""
+    original = ExecutorPool._send
+
+    async def send(self: ExecutorPool, *arguments: Any) -> Any:
+        outcome = await original(self, *arguments)
+        if isinstance(outcome, Lost):
+            return NotSent(outcome.server, outcome.reason)
+        return outcome
+
+    _set(ExecutorPool, "_send", send)
+
+
+def _idempotent_rule() -> None:
+    """Repeat lost requests whatever their operation."""
+
+    def may_repeat(self: Any, operation: Any, document: Any, lost: int) -> bool:
+        return lost < 3
+
+    _set(RequestRunner, "_may_repeat", may_repeat)
+
+
+def _retry_budget() -> None:
+    """Allow every retry."""
+    _set(RetryBudget, "take", lambda self: True)
+
+
 def _set(owner: Any, name: str, value: Any) -> None:
     setattr(owner, name, value)
 
@@ -83,6 +149,13 @@
     "records": _records,
     "key-insert": _key_insert,
     "key-repeat": _key_repeat,
+    "revision-order": _revision_order,
+    "write-read-back": _write_read_back,
+    "drain": _drain,
+    "drain-wait": _drain_wait,
+    "lost-is-unknown": _lost_is_unknown,
+    "idempotent-rule": _idempotent_rule,
+    "retry-budget": _retry_budget,
 }
 
 
