Let a decision look at 32 servers at most

Cause, measured: a choice costs 2.1 us per server, so 128 servers (64 local, 64 others) cost 268 us for each start, 27 cores at 100,000 starts a second. Ruled out: a smaller subset, which bounds the slots a process can use; and an ordered index, which load facts that fade would reorder all the time. Each dispatch pass now samples 32 servers, three quarters of them local.

--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -21,6 +21,8 @@
 from redwingport_state.membership import MembershipView
 
 UNREACHABLE_S = 1.0
+# A choice costs about 2 microseconds per server, and 32 servers have slots for the largest jobs.
+MAX_CANDIDATES = 32
 
 decisions = logging.getLogger(DECISIONS)
 logger = logging.getLogger(ROOT)
@@ -93,12 +95,25 @@
             self._on_leaving(server.info.vm)
 
     def usable(self, now: float) -> list[Server]:
-        """Return the servers that may get new work, with their load facts faded to now."""
+        """Return servers that may get new work, with their load facts faded to now.
+
+        At most :data:`MAX_CANDIDATES` are returned, since each decision looks at all of them.
+        """
         servers = [server for server in self.server_by_id.values() if self.may_use(server, now)]
+        if len(servers) > MAX_CANDIDATES:
+            servers = self._sample(servers)
         for server in servers:
             self._refresh(server, now)
         return servers
 
+    def _sample(self, servers: list[Server]) -> list[Server]:
+        local = [server for server in servers if server.view.local]
+        remote = [server for server in servers if not server.view.local]
+        # Remote servers fill the places that local ones leave, and always a quarter of them.
+        local_count = min(len(local), max(MAX_CANDIDATES * 3 // 4, MAX_CANDIDATES - len(remote)))
+        remote_count = min(len(remote), MAX_CANDIDATES - local_count)
+        return self.rng.sample(local, local_count) + self.rng.sample(remote, remote_count)
+
     def own_speed(self) -> float:
         """Return the work that this process can have done in a second, in mean slots.
 
@@ -157,8 +172,7 @@
 
     def _refresh(self, server: Server, now: float) -> None:
         view = server.view
-        if server.held_deadline <= now:
-            view.held_slots = 0
+        server.expire_holds(now)
         fade_load(view, now)
 
     def _subset(self, infos: list[VmInfo]) -> list[VmInfo]:
--- a/packages/entry/tests/test_worker_pool.py
+++ b/packages/entry/tests/test_worker_pool.py
@@ -50,6 +50,24 @@
         task_group.cancel_scope.cancel()
 
 
+def test_a_decision_looks_at_a_bounded_number_of_servers() -> None:
+    """Guards against a cost of each start that grows with the number of workers."""
+
+    async def use(pool: WorkerPool) -> None:
+        local = [WORKER.model_copy(update={"vm": f"worker-{n}"}) for n in range(100)]
+        remote = [
+            WORKER.model_copy(update={"vm": f"remote-{n}", "domain": "farm"}) for n in range(100)
+        ]
+        pool.sync([*local, *remote], lambda info: 1)
+        assert len(pool.server_by_id) == 128
+        views = [server.view for server in pool.usable(pool.clock())]
+        assert (len(views), sum(view.local for view in views)) == (32, 24)
+        pool.sync([*local[:4], *remote], lambda info: 1)
+        assert len(pool.usable(pool.clock())) == 32
+
+    anyio.run(_with_pool, use)
+
+
 def _job(pool: WorkerPool, deadline: float) -> Job:
     document = ServiceDocument(name="route-build", team="dairy", jobs=JobSpec())
     return Job("id", document, [TaskBody() for _ in range(100)], deadline, 1000)
