--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -44,6 +44,8 @@
 
 FORWARD_GRACE_S = 1.5
 STILL_RUNNING = "still-running"
+# Status of an answer that tells nothing of the submission.
+UNKNOWN_STATUS = 504
 
 logger = logging.getLogger(ROOT)
 
@@ -137,11 +139,15 @@
         for vm in self._targets(submission_id):
             try:
                 link = await self.mesh.reach(vm)
-                return await self._call(link, kind, submission_id, submission)
+                answer = await self._call(link, kind, submission_id, submission)
             except PeerError as failure:
                 error = failure
                 if failure.step == "call":
                     break
+                continue
+            # One that joined after the shutdown, as the restarted owner, has no records.
+            if answer.status != UNKNOWN_STATUS or not self._is_gone(submission_id):
+                return answer
         return answer_of_problem(self._unreachable(submission_id, error))
 
     def _targets(self, submission_id: SubmissionId) -> list[str]:
