Refuse bad input at every border with bounded memory

Ruled out: a limit in the routes, which see a request only after its head; a strict JSON parser for payloads, as the one in use has no such switch.

--- a/packages/entry/src/redwingport_entry/api/callers.py
+++ b/packages/entry/src/redwingport_entry/api/callers.py
@@ -11,6 +11,7 @@
 
 from redwingport_entry.api.responses import (
     answer_response,
+    is_number,
     json_response,
     problem_response,
     read_request_body,
@@ -60,7 +61,7 @@
     async def issue(self, request: Request) -> Response:
         """Issue submission ids: ``POST /v1/submissions?count=N``."""
         text = request.query_params.get("count", "1")
-        if not text.isdecimal() or not 1 <= int(text[:9]) <= MAX_IDS:
+        if not is_number(text, 1, MAX_IDS):
             detail = f"count is a number from 1 to {MAX_IDS}."
             return problem_response(not_run(400, "invalid-count", detail, step="parse"))
         ids = [str(self._submissions.table.issue()) for _ in range(int(text))]
@@ -146,7 +147,7 @@
 
 def _timeout_ms(request: Request) -> Result[int, Problem]:
     text = request.headers.get(HEADER_TIMEOUT_MS, str(DEFAULT_TIMEOUT_MS))
-    if not text.isdecimal() or not 1 <= int(text[:9]) <= MAX_TIMEOUT_MS:
+    if not is_number(text, 1, MAX_TIMEOUT_MS):
         detail = f"{HEADER_TIMEOUT_MS} is a number from 1 to {MAX_TIMEOUT_MS}."
         return Err(not_run(400, "invalid-timeout", detail, step="parse"))
     return Ok(int(text))
--- a/packages/entry/src/redwingport_entry/api/operators.py
+++ b/packages/entry/src/redwingport_entry/api/operators.py
@@ -12,7 +12,12 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from redwingport_entry.api.responses import json_response, problem_response, read_request_body
+from redwingport_entry.api.responses import (
+    is_number,
+    json_response,
+    problem_response,
+    read_request_body,
+)
 from redwingport_entry.configuration import Configuration
 from redwingport_entry.exceptions import PeerError
 from redwingport_entry.peers.link import PeerLink
@@ -27,6 +32,7 @@
 from redwingport_messages.outcomes import Problem, not_run
 
 STATUS_TIMEOUT_S = 2.0
+MAX_REVISION = 10**18 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +247,7 @@
     if request.headers.get("if-none-match") == "*":
         return Ok(0)
     text = request.headers.get("if-match", "").strip('"')
-    if text.isdecimal() and int(text[:18]) >= 1:
+    if is_number(text, 1, MAX_REVISION):
         return Ok(int(text))
     detail = "If-Match with the revision that is replaced, or If-None-Match: * is needed."
     return Err(not_run(428, "revision-needed", detail, step="parse"))
--- a/packages/entry/src/redwingport_entry/api/responses.py
+++ b/packages/entry/src/redwingport_entry/api/responses.py
@@ -37,6 +37,15 @@
     return answer_response(answer_of_problem(problem))
 
 
+def is_number(text: str, least: int, most: int) -> bool:
+    """Tell whether a text is a decimal number in a range.
+
+    Texts longer than the largest number are refused unread: the time of a conversion grows with
+    the square of the digits, and Python refuses more than 4,300 of them.
+    """
+    return text.isdecimal() and len(text) <= len(str(most)) and least <= int(text) <= most
+
+
 async def read_request_body(request: Request, limit: int) -> Result[bytes, Problem]:
     """Read the body of a request.
 
--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -1,14 +1,22 @@
 """The HTTP server, run inside the process's own task tree."""
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import uvicorn
 from starlette.types import ASGIApp
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from redwingport_entry.settings import Settings
 
 KEEP_ALIVE_S = 30
+HEAD_TIMEOUT_S = 30.0
+MAX_HEAD_BYTES = 64 * 1024
+_HEAD_TOO_LONG = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 
 class HttpServer(uvicorn.Server):
@@ -20,6 +28,76 @@
         yield
 
 
+class BoundedProtocol(HttpToolsProtocol):
+    """Bound the bytes and the time of a request's head, and the bytes of its trailer.
+
+    Neither uvicorn nor the parser does. Bytes are counted from the last progress of the parser:
+    the end of the head, a piece of the body, the end of the request.
+    """
+
+    _unparsed_bytes = 0
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Wait for the first head; see :class:`asyncio.Protocol`."""
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop waiting; see :class:`asyncio.Protocol`."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data; see :class:`asyncio.Protocol`."""
+        self._unparsed_bytes += len(data)
+        super().data_received(data)
+        if self._unparsed_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
+            if not self._is_answering():
+                self.transport.write(_HEAD_TOO_LONG)
+            self.transport.close()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse bytes that are not HTTP, unless an answer to an earlier request is due."""
+        if self._is_answering():
+            self.transport.close()
+        else:
+            super().send_400_response(msg)
+
+    def on_message_begin(self) -> None:
+        """Wait for the rest of the head."""
+        super().on_message_begin()
+        self._start_head_timer()
+
+    def on_headers_complete(self) -> None:
+        """Start the request."""
+        self._unparsed_bytes = 0
+        self._stop_head_timer()
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a piece of the body on."""
+        self._unparsed_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End the request."""
+        self._unparsed_bytes = 0
+        super().on_message_complete()
+
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _start_head_timer(self) -> None:
+        self._stop_head_timer()
+        self._head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self.transport.close)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
 def build_server(application: ASGIApp, settings: Settings) -> HttpServer:
     """Build the server.
 
@@ -31,7 +109,7 @@
         host=settings.entry.http_host,
         port=settings.entry.http_port,
         loop="none",
-        http="httptools",
+        http=BoundedProtocol,
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/entry/src/redwingport_entry/keys.py
+++ b/packages/entry/src/redwingport_entry/keys.py
@@ -102,7 +102,7 @@
     try:
         row = json.loads(value)
         stored_id, stored_fingerprint = str(row["id"]), str(row["fingerprint"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return Err(_undecided())
     if stored_fingerprint != fingerprint:
         return Err(reused_id())
--- a/packages/entry/src/redwingport_entry/logs.py
+++ b/packages/entry/src/redwingport_entry/logs.py
@@ -10,6 +10,7 @@
 
 ROOT = "redwingport"
 DECISIONS = "redwingport.decisions"
+LIBRARIES = ("uvicorn", "asyncio")
 
 
 class _LineFormatter(logging.Formatter):
@@ -60,6 +61,12 @@
     logger.handlers[:] = [handler]
     logger.propagate = False
     logger.setLevel(settings.level.upper())
+    for name in LIBRARIES:
+        # Their own handlers would write tracebacks of several lines to standard error.
+        library = logging.getLogger(name)
+        library.handlers[:] = [handler]
+        library.propagate = False
+        library.setLevel(logging.WARNING)
     decisions = logging.getLogger(DECISIONS)
     decisions.setLevel(settings.level.upper() if settings.decisions else logging.ERROR)
 
--- a/packages/entry/src/redwingport_entry/main.py
+++ b/packages/entry/src/redwingport_entry/main.py
@@ -64,5 +64,9 @@
         for line in loaded.err_value:
             print(line, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    configure_logging(loaded.ok_value.log)
+    try:
+        configure_logging(loaded.ok_value.log)
+    except OSError as error:
+        print(f"[log] file: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
     anyio.run(serve, loaded.ok_value, backend_options={"use_uvloop": True})
--- a/packages/entry/src/redwingport_entry/peers/link.py
+++ b/packages/entry/src/redwingport_entry/peers/link.py
@@ -105,6 +105,14 @@
                     self._take_answer(message)
                 else:
                     await handle(self, message)
+        except MessageError as error:
+            log_event(
+                logger,
+                logging.WARNING,
+                "message-refused",
+                peer=self.peer.vm,
+                error=error.reason,
+            )
         except (*LINK_ERRORS, TimeoutError):
             pass
         except Exception as error:
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -184,7 +184,7 @@
             return []
         chosen = random.sample(seeds, min(SEEDS_AT_ONCE, len(seeds)))
         parts = [(seed, *seed.rpartition(":")[::2]) for seed in chosen]
-        return [(seed, host, int(port)) for seed, host, port in parts]
+        return [(seed, host.strip("[]"), int(port)) for seed, host, port in parts]
 
     async def _close_unwanted(self, now: float) -> None:
         """Close links that this process opened for one call, or that are no longer chosen."""
--- a/packages/entry/src/redwingport_entry/platform.py
+++ b/packages/entry/src/redwingport_entry/platform.py
@@ -130,6 +130,8 @@
         if reply.status == 404:
             return None
         row = self._parse(_RowAnswer, reply, "read table")
+        if row.key != key:
+            raise PlatformError("read table", self._connections.peer, "answers another key")
         return row.revision, row.value
 
     async def read_index(self, prefix: str) -> list[tuple[str, int]]:
--- a/packages/entry/src/redwingport_entry/settings.py
+++ b/packages/entry/src/redwingport_entry/settings.py
@@ -2,10 +2,12 @@
 
 import configparser
 import os
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Literal
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     BeforeValidator,
     ConfigDict,
@@ -31,7 +33,32 @@
     return value
 
 
+def _require_address(value: str) -> str:
+    """Require ``IP:PORT``, where an IPv6 number may stand in brackets."""
+    host, _, port = value.rpartition(":")
+    try:
+        ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        host = ""
+    if not host or not (port.isdecimal() and len(port) <= 5 and 1 <= int(port) <= 65535):
+        raise ValueError("an address is IP:PORT")
+    return value
+
+
+def _require_url(value: str) -> str:
+    _require_address(value.removeprefix("http://"))
+    return value
+
+
 Words = Annotated[tuple[str, ...], BeforeValidator(_split)]
+Addresses = Annotated[
+    tuple[Annotated[str, AfterValidator(_require_address)], ...], BeforeValidator(_split)
+]
+Url = Annotated[
+    str,
+    StringConstraints(pattern=r"^http://[0-9.:\[\]a-f]+:[0-9]+$"),
+    AfterValidator(_require_url),
+]
 Port = Annotated[int, Field(ge=1, le=65535)]
 Sha256 = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 
@@ -72,7 +99,7 @@
     :param timeout_s: longest wait for an answer, in seconds.
     """
 
-    url: str = Field(pattern=r"^http://[0-9.:\[\]a-f]+:[0-9]+$")
+    url: Url
     poll_s: float = Field(default=5.0, gt=0, le=60)
     list_poll_s: float = Field(default=2.0, gt=0, le=60)
     timeout_s: float = Field(default=2.0, gt=0, le=60)
@@ -93,7 +120,7 @@
     """
 
     secret: SecretStr = Field(min_length=MIN_SECRET_CHARACTERS)
-    seeds: Words = ()
+    seeds: Addresses = ()
     links_per_domain: int = Field(default=2, ge=1, le=16)
     heartbeat_s: float = Field(default=1.0, gt=0, le=60)
     remote_heartbeat_s: float = Field(default=4.0, gt=0, le=60)
@@ -206,8 +233,12 @@
     parser = configparser.ConfigParser(interpolation=None, delimiters=("=",))
     try:
         parser.read_string(Path(path).read_text(encoding="utf-8"), str(path))
-    except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        return Err((f"{path}: {' '.join(str(error).split())}",))
+    except configparser.Error as error:
+        return Err((f"{path}: {_syntax_error(error)}",))
+    except OSError as error:
+        return Err((f"{path}: {error.strerror}",))
+    except UnicodeDecodeError as error:
+        return Err((f"{path}: not UTF-8 at byte {error.start}",))
     return check_settings({name: dict(parser[name]) for name in parser.sections()})
 
 
@@ -238,6 +269,21 @@
     return Err(unknown) if unknown else Ok(settings)
 
 
+def _syntax_error(error: configparser.Error) -> str:
+    """Describe an error without the text of its line, which may hold a secret."""
+    match error:
+        case configparser.MissingSectionHeaderError():
+            return f"line {error.lineno}: not in a section"
+        case configparser.ParsingError():
+            numbers = ", ".join(str(number) for number, _ in error.errors)
+            return f"line {numbers}: not KEY = VALUE"
+        case configparser.DuplicateSectionError():
+            return f"line {error.lineno}: section repeated"
+        case configparser.DuplicateOptionError():
+            return f"line {error.lineno}: key repeated"
+    return "not an INI file"
+
+
 def _error_line(item: object) -> str:
     """Describe one error without its input, which may be a secret."""
     assert isinstance(item, dict)
--- a/packages/messages/src/redwingport_messages/backend.py
+++ b/packages/messages/src/redwingport_messages/backend.py
@@ -105,7 +105,7 @@
     :param leaving: whether the worker is about to go.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     slots: int = Field(ge=0)
     free: int = Field(ge=0)
@@ -126,7 +126,7 @@
     :param load: load facts.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     submission: str
     lease: str
@@ -150,7 +150,7 @@
     :param cpus: mean processors used.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     service: str
     declared_ms: float = Field(gt=0)
@@ -174,7 +174,7 @@
     :param usage: usage of tasks that ended earlier.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     submission: str
     task: int
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -1,17 +1,19 @@
 """Messages between entry processes and their msgpack frames."""
 
 from dataclasses import dataclass, fields
-from typing import Any
+from typing import Annotated, Any
 
 import msgpack
-from pydantic import ConfigDict, ValidationError
+from pydantic import ConfigDict, Field, ValidationError
 from pydantic.dataclasses import dataclass as checked_dataclass
 
 from redwingport_messages.exceptions import MessageError
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 LENGTH_BYTES = 4
-_STRICT = ConfigDict(strict=True)
+_STRICT = ConfigDict(strict=True, allow_inf_nan=False)
+OutcomeName = Annotated[str, Field(pattern=r"^(complete|not-run|failed|outcome-unknown)$")]
+Status = Annotated[int, Field(ge=200, le=599)]
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -50,7 +52,7 @@
     :param vms_version: version of the VM list it holds.
     """
 
-    weight: float
+    weight: Annotated[float, Field(gt=0, le=1000)]
     queued: int
     leaving: bool
     vms_version: int
@@ -137,8 +139,8 @@
 
     call: int
     submission_id: str
-    outcome: str
-    status: int
+    outcome: OutcomeName
+    status: Status
     content_type: str
     body: bytes
     retry_after_s: float
@@ -178,7 +180,7 @@
     """
 
     incarnation: str
-    records: list[tuple[str, str, str, int, str, bytes]]
+    records: list[tuple[str, str, OutcomeName, Status, str, bytes]]
     last: bool
 
 
--- a/packages/messages/src/redwingport_messages/submissions.py
+++ b/packages/messages/src/redwingport_messages/submissions.py
@@ -1,6 +1,7 @@
 """Submissions of callers: the job body and the request as passed between processes."""
 
 import hashlib
+import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -47,9 +48,15 @@
     :returns: the job, or the place and reason of every error.
     """
     try:
-        return Ok(JobBody.model_validate_json(body))
+        job = JobBody.model_validate_json(body)
     except ValidationError as error:
         return Err(describe_errors(error)[:20])
+    try:
+        # The parser takes NaN and numbers beyond the range of a float, which JSON cannot hold.
+        json.dumps([task.payload for task in job.tasks], allow_nan=False)
+    except ValueError:
+        return Err(("tasks: a payload has a number that is not finite",))
+    return Ok(job)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/messages/src/redwingport_messages/vms.py
+++ b/packages/messages/src/redwingport_messages/vms.py
@@ -45,7 +45,7 @@
     :param leaving: whether the VM is about to go.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     vm: Name
     kind: VmKind
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/cluster/raw.py
@@ -0,0 +1,229 @@
+"""Servers and clients that send arbitrary bytes, for tests of bad input and crossed answers."""
+
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httptools
+from anyio.abc import SocketAttribute, SocketStream
+
+from redwingport_messages.backend import HEADER_LOAD
+from redwingport_messages.vms import VmInfo
+from redwingport_testbed.cluster.harness import Edit
+from redwingport_testbed.standins.fleet import HOST
+
+CLIENT_TIMEOUT_S = 10.0
+RECEIVE_BYTES = 64 * 1024
+_BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
+
+
+@dataclass(slots=True)
+class RawRequest:
+    """Hold one request as a raw server got it.
+
+    :param connection: number of the connection, from 1.
+    :param path: the path.
+    :param headers: headers by lower-case name.
+    :param body: the body.
+    """
+
+    connection: int
+    path: str = ""
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    @property
+    def submission(self) -> str:
+        """Return the submission id of a request to an executor or a worker."""
+        if "redwingport-submission" in self.headers:
+            return self.headers["redwingport-submission"]
+        return str(json.loads(self.body)["submission"])
+
+
+class _RequestParser:
+    def __init__(self, connection: int) -> None:
+        self.request = RawRequest(connection)
+        self.complete = False
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_url(self, url: bytes) -> None:
+        self.request.path += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.request.body += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class RawServer:
+    """Answer HTTP requests with whatever bytes a test gives.
+
+    :param answer: returns the bytes to send; the connection is closed after None, and after
+        bytes that do not start with a status line of HTTP/1.1 or ask for the close.
+    """
+
+    def __init__(self, answer: Callable[[RawRequest], Awaitable[bytes | None]]) -> None:
+        self.answer = answer
+        self.port = 0
+        self.requests: list[RawRequest] = []
+        self._connections = 0
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        """Listen on a free port while the context is open."""
+        listener = await anyio.create_tcp_listener(
+            local_host=HOST, local_port=0, family=socket.AF_INET
+        )
+        self.port = listener.extra(SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, self._connection)
+            yield
+            group.cancel_scope.cancel()
+
+    async def _connection(self, stream: SocketStream) -> None:
+        self._connections += 1
+        number = self._connections
+        async with stream:
+            try:
+                while await self._exchange(stream, number):
+                    pass
+            except (*_BROKEN, httptools.HttpParserError):
+                pass
+
+    async def _exchange(self, stream: SocketStream, number: int) -> bool:
+        parser = _RequestParser(number)
+        while not parser.complete:
+            parser.feed(await stream.receive(RECEIVE_BYTES))
+        self.requests.append(parser.request)
+        answer = await self.answer(parser.request)
+        if answer is not None:
+            await stream.send(answer)
+        return answer is not None and b"connection: close" not in answer[:500]
+
+
+def only(**port_by_vm: int) -> Edit:
+    """Return an edit of the VM list that keeps the entry VMs and some servers on other ports.
+
+    :param port_by_vm: port by VM name, with ``_`` for ``-``; 0 keeps the port of the stand-in.
+    """
+    ports = {vm.replace("_", "-"): port for vm, port in port_by_vm.items()}
+
+    def edit(vm: VmInfo) -> VmInfo | None:
+        if vm.peer_port:
+            return vm
+        if vm.vm not in ports:
+            return None
+        return vm.model_copy(update={"port": ports[vm.vm] or vm.port})
+
+    return edit
+
+
+def http_answer(
+    body: bytes, status: int = 200, headers: Mapping[str, str] | None = None, close: bool = False
+) -> bytes:
+    """Return the bytes of an HTTP answer with a correct length."""
+    lines = [f"HTTP/1.1 {status} x", f"content-length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines += ["connection: close"] if close else []
+    return "\r\n".join([*lines, "", ""]).encode("utf-8") + body
+
+
+def echo_headers(request: RawRequest, **changes: str) -> dict[str, str]:
+    """Return the headers that an executor repeats, with its load facts."""
+    names = ("submission", "task", "attempt")
+    echoed = {name: request.headers.get(f"redwingport-{name}", "") for name in names} | changes
+    headers = {f"redwingport-{name}": value for name, value in echoed.items()}
+    return {HEADER_LOAD: "slots=8;active=1;queued=0;leaving=0", **headers}
+
+
+def executor_answer(request: RawRequest, close: bool = False) -> bytes:
+    """Return the right answer of an executor to a request of the test bed."""
+    token = json.loads(request.body)["token"]
+    body = json.dumps({"token": token, "operation": request.path.rpartition("/")[2]}).encode()
+    return http_answer(body, headers=echo_headers(request), close=close)
+
+
+def worker_lines(request: RawRequest, **changes: Any) -> list[dict[str, Any]]:
+    """Return the right lines of a worker's answer: the start answer and the task ends.
+
+    :param changes: members of every line that differ.
+    """
+    body = json.loads(request.body)
+    load = {"slots": 8, "free": 8, "held": 0, "leaving": False}
+    numbers = [task["task"] for task in body["tasks"]]
+    first = {"lease": "l", "lease_ms": 1000, "clock": 5.0, "started": numbers, "load": load}
+    ends = [
+        {
+            "task": task["task"],
+            "attempt": task["attempt"],
+            "status": "done",
+            "result": {"task": task["task"], "token": (task["payload"] or {}).get("token")},
+            "run_ms": 1.0,
+            "load": load,
+        }
+        for task in body["tasks"]
+    ]
+    return [{"submission": body["submission"], **line, **changes} for line in (first, *ends)]
+
+
+def worker_answer(lines: list[dict[str, Any]]) -> bytes:
+    """Return the HTTP answer that holds the lines."""
+    return http_answer(b"".join(json.dumps(line).encode() + b"\n" for line in lines))
+
+
+def send_raw(port: int, *chunks: bytes, end: bool = False, slowly_s: float = 0.0) -> bytes:
+    """Send bytes to a port of this machine and read until the other side closes.
+
+    :param chunks: what is sent, piece by piece.
+    :param end: whether the sending side is closed after the last piece.
+    :param slowly_s: time-out for reading after each piece, in seconds.
+    :returns: what was received; the rest is left when the other side does not close in time.
+    """
+    received = b""
+    with socket.create_connection((HOST, port), CLIENT_TIMEOUT_S) as sock:
+        try:
+            for chunk in chunks:
+                sock.sendall(chunk)
+                if slowly_s:
+                    sock.settimeout(slowly_s)
+                    received += _receive(sock)
+                    sock.settimeout(CLIENT_TIMEOUT_S)
+            if end:
+                sock.shutdown(socket.SHUT_WR)
+            while chunk := sock.recv(RECEIVE_BYTES):
+                received += chunk
+        except OSError:
+            pass
+    return received
+
+
+def _receive(sock: socket.socket) -> bytes:
+    try:
+        return sock.recv(RECEIVE_BYTES)
+    except TimeoutError:
+        return b""
+
+
+def status_of(answer: bytes) -> int:
+    """Return the status of a received answer, 0 when there is none."""
+    return int(answer.split(b" ", 2)[1]) if answer.startswith(b"HTTP/1.") else 0
+
+
+def peak_memory_mb(pid: int) -> float:
+    """Return the peak resident memory of a process, in megabytes."""
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
