--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -172,7 +172,8 @@
 
     def _refresh(self, server: Server, now: float) -> None:
         view = server.view
-        server.expire_holds(now)
+        if server.held_deadline <= now:
+            view.held_slots = 0
         fade_load(view, now)
 
     def _subset(self, infos: list[VmInfo]) -> list[VmInfo]:
