--- a/packages/testbed/src/redwingport_testbed/commands/slopes.py
+++ b/packages/testbed/src/redwingport_testbed/commands/slopes.py
@@ -16,6 +16,9 @@
 
 HELP = "measure the slopes of the capacity page and print them as a table"
 
+BEGIN_MARKER = "<!-- slopes: begin -->"
+END_MARKER = "<!-- slopes: end -->"
+
 Rows = list[tuple[Series, float]]
 
 
@@ -42,6 +45,9 @@
         "--only", choices=sorted(MEASUREMENT_BY_NAME), action="append", help="repeat for more"
     )
     parser.add_argument("--quick", action="store_true", help="few small points, to try the tool")
+    parser.add_argument(
+        "--page", type=Path, help="page whose table between the slopes markers is replaced"
+    )
     parser.add_argument("--output", type=Path, help="file for the points as JSON")
 
 
@@ -56,6 +62,8 @@
         for series, planned in measured:
             print(series.row(planned), flush=True)
         rows += measured
+    if options.page:
+        _replace_table(options.page, [TABLE_HEAD, *(series.row(size) for series, size in rows)])
     if options.output:
         points = [
             {"name": series.name, "size": series.size, "points": series.points}
@@ -63,3 +71,11 @@
         ]
         options.output.write_text(json.dumps(points, indent=2) + "\n", encoding="utf-8")
     return 0
+
+
+def _replace_table(page: Path, lines: list[str]) -> None:
+    head, _, rest = page.read_text(encoding="utf-8").partition(BEGIN_MARKER)
+    _, _, tail = rest.partition(END_MARKER)
+    table = "\n".join(lines)
+    text = f"{head}{BEGIN_MARKER}\n\n{table}\n\n{END_MARKER}{tail}"
+    page.write_text(text, encoding="utf-8")
