Test answers that are late, crossed, repeated or cut (P3)

Cause: the promise had no test with real processes. Ruled out: the delay fault of the stand-ins, which cannot swap answers or show which connection is used.

A second answer to one request is not seen before the next exchange of the connection, which is then lost; no caller gets it.

--- /dev/null
+++ b/packages/testbed/tests/faults/test_whole_answers.py
@@ -0,0 +1,145 @@
+"""P3: guard against a caller that gets another's answer, or a part of its own."""
+
+import json
+from pathlib import Path
+
+import anyio
+import pytest
+
+from redwingport_testbed.cluster.harness import Reply, gather, make_fleet, running_cluster
+from redwingport_testbed.cluster.raw import (
+    RawRequest,
+    RawServer,
+    echo_headers,
+    executor_answer,
+    http_answer,
+    only,
+    worker_answer,
+    worker_lines,
+)
+
+pytestmark = pytest.mark.anyio
+# Past the time-out of 0.6 s and the 2 s for which the end of a job's start is awaited.
+LATE_S = 3.5
+
+
+class _Crossing:
+    """Hold requests until all have come and answer them in the opposite order.
+
+    :param count: requests to hold.
+    :param swapped: whether each also gets the whole answer to another.
+    """
+
+    def __init__(self, count: int, swapped: bool) -> None:
+        self._count = count
+        self._swapped = swapped
+        self._held: list[RawRequest] = []
+        self._turns = [anyio.Event() for _ in range(count)]
+
+    async def __call__(self, request: RawRequest) -> bytes:
+        number = len(self._held)
+        self._held.append(request)
+        if len(self._held) == self._count:
+            self._turns[-1].set()
+        await self._turns[number].wait()
+        if number:
+            self._turns[number - 1].set()
+        other = self._held[number - 1] if self._swapped else request
+        if other.path == "/v1/starts":
+            return worker_answer(worker_lines(other))
+        return executor_answer(other)
+
+
+async def _late(request: RawRequest) -> bytes:
+    await anyio.sleep(LATE_S)
+    return await _right(request)
+
+
+async def _right(request: RawRequest) -> bytes:
+    if request.path == "/v1/stops":
+        return http_answer(b"{}")
+    if request.path == "/v1/starts":
+        return worker_answer(worker_lines(request))
+    return executor_answer(request)
+
+
+async def _twice(request: RawRequest) -> bytes:
+    return (await _right(request)) * 2
+
+
+async def _closing(request: RawRequest) -> bytes:
+    whole = await _right(request)
+    return whole.replace(b"\r\n", b"\r\nconnection: close\r\n", 1)[:-5]
+
+
+async def test_answers_late_crossed_repeated_and_cut(tmp_path: Path) -> None:
+    server = RawServer(_right)
+    async with server.serving():
+        edit = only(worker_01=server.port, executor_01=server.port)
+        async with running_cluster(make_fleet(1, 3), tmp_path, edit=edit) as cluster:
+
+            async def submit(count: int, timeout_ms: int = 10_000) -> dict[str, set[str]]:
+                names: dict[str, set[str]] = {}
+                for kind in ("job", "request"):
+                    if isinstance(server.answer, _Crossing):
+                        server.answer = _Crossing(count, server.answer._swapped)
+                    make = cluster.job if kind == "job" else cluster.request
+                    calls = [make(50.0) for _ in range(count)]
+                    replies: list[Reply] = await gather(
+                        *(cluster.submit(0, call, timeout_ms=timeout_ms) for call in calls)
+                    )
+                    names[kind] = {reply.name for reply in replies}
+                return names
+
+            whole = {"job": {"complete"}, "request": {"complete"}}
+            lost = {"job": {"failed"}, "request": {"outcome-unknown"}}
+            server.answer = _Crossing(3, swapped=False)
+            assert await submit(3) == whole
+            server.answer = _Crossing(3, swapped=True)
+            assert await submit(3) == lost
+            server.answer = _right
+            assert await submit(3) == whole
+            server.answer = _twice
+            assert await submit(2) == whole
+            # The second answer to one request is found, and dropped, by the next exchange.
+            await submit(3)
+            server.answer = _right
+            await submit(3)
+            server.answer = _late
+            assert await submit(3, timeout_ms=600) == lost
+            late = [request for request in server.requests if request.path != "/v1/stops"]
+            abandoned = {request.connection for request in late[-6:]}
+            count = len(server.requests)
+            server.answer = _right
+            assert await submit(3) == whole
+            # The late answers arrive at this time, if their connections are still open.
+            await anyio.sleep(LATE_S)
+            assert await submit(3) == whole
+            reused = abandoned & {request.connection for request in server.requests[count:]}
+            assert not reused, "an abandoned exchange left its connection in use"
+            server.answer = _closing
+            assert await submit(2) == lost
+            server.answer = _right
+            assert await submit(2) == whole
+            cluster.finish(
+                "P3",
+                *("answered in crossed order", "answers swapped", "answered twice"),
+                *("answered after the time-out", "answer cut"),
+            )
+
+
+@pytest.mark.parametrize("header", ["submission", "task", "attempt"])
+async def test_an_answer_with_wrong_echo_headers_is_dropped(tmp_path: Path, header: str) -> None:
+    async def wrong(request: RawRequest) -> bytes:
+        echo = echo_headers(request, **{header: "9"})
+        token = json.loads(request.body)["token"]
+        body = json.dumps({"token": token, "operation": request.path.rpartition("/")[2]})
+        return http_answer(body.encode(), headers=echo)
+
+    server = RawServer(wrong)
+    async with server.serving():
+        edit = only(worker_01=0, executor_01=server.port)
+        async with running_cluster(make_fleet(1, 3), tmp_path, edit=edit) as cluster:
+            reply = await cluster.submit(0, cluster.request(50.0), timeout_ms=5_000)
+            assert reply.name == "outcome-unknown"
+            cluster.finish("P3", f"answer echoes another {header}")
