--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 unit: setup
 	$(BIN)/pytest
 
+# Fault tests with real processes; prints one line per promise.
+test-faults: setup
+	$(BIN)/pytest packages/testbed/tests/faults
+
 docs-check: setup
 	$(BIN)/pytest packages/entry/tests/test_api_page.py
 	$(BIN)/redwingport settings-reference --check docs/settings.md
