Pass a notice of leaving on to peers without a link to its source

Cause: a process that heard from a peer that a backend server is leaving told nobody. With more entry VMs than links between failure domains, some never heard of it while the platform could not be reached. Ruled out: more links per failure domain, whose heartbeats grow with the number of processes. A notice is passed on only where it is new, so each process sends it once. Before: test_a_notice_passes_peers_that_are_not_linked fails (12 entry VMs, 1 link per failure domain: "not within 5.0 s: notice at 2"). After: 1 passed in 2.9 s.

--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -102,6 +102,9 @@
                 for vm in message.servers:
                     if self._membership.mark_leaving(vm):
                         self._on_server_leaving(vm)
+                        # Not every process has a link to the one that noticed it first.
+                        news = ServerLeaving([vm])
+                        self._task_group.start_soon(self.mesh.broadcast, news, link.peer.vm)
             case RevisionQuery():
                 revision = self._store.revision(message.service)
                 answer = RevisionAnswer(message.call, revision)
