Split the border tests by border

Ruled out: a shared conftest, which hides where a check comes from; the checks of a process are a module of the harness.

--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/cluster/inspection.py
@@ -0,0 +1,37 @@
+"""Checks of an entry process after it got bad input."""
+
+from redwingport_testbed.cluster.harness import Cluster
+from redwingport_testbed.cluster.raw import peak_memory_mb
+
+MEMORY_GROWTH_MB = 100
+# The sections that a settings file needs at least.
+MINIMAL = {
+    "entry": {
+        "name": "entry-1",
+        "domain": "creamery",
+        "http_host": "127.0.0.1",
+        "http_port": "8001",
+        "peer_host": "127.0.0.1",
+        "peer_port": "9001",
+    },
+    "platform": {"url": "http://127.0.0.1:8000"},
+    "peers": {"secret": "not-to-be-shown-secret"},
+}
+
+
+def pid_of(cluster: Cluster, number: int = 0) -> int:
+    """Return the process id of an entry process."""
+    return cluster.processes.process_by_name[cluster.vms[number].vm].pid
+
+
+async def require_unharmed(cluster: Cluster, before_mb: float) -> None:
+    """Require that the first process still works, kept its memory bounded and logged no traceback.
+
+    :param before_mb: its peak memory before the input, in megabytes.
+    """
+    assert (await cluster.operator(0, "GET", "/healthz")).status == 200
+    assert peak_memory_mb(pid_of(cluster)) - before_mb < MEMORY_GROWTH_MB
+    log = cluster.log(0)
+    assert "Traceback" not in log
+    assert '"run-failed"' not in log and '"request-failed"' not in log
+    assert "child-failed" not in log
--- /dev/null
+++ b/packages/testbed/tests/faults/test_border_settings.py
@@ -0,0 +1,70 @@
+"""Guard against settings files that raise, or whose errors show a secret."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from redwingport_entry.settings import check_settings, load_settings
+from redwingport_testbed.cluster.inspection import MINIMAL
+
+SECRET = MINIMAL["peers"]["secret"]
+KEYS = ("weight", "seeds", "url", "poll_s", "secret", "token_sha256", "tls_key", "file", "x")
+VALUES = st.sampled_from(["nan", "inf", "-1", "1:2:3", "127.0.0.1:0", "a,b", "%(x)s", "9" * 5_000])
+
+
+@given(
+    st.dictionaries(
+        st.one_of(st.sampled_from([*MINIMAL, "operator a", "quotas", "DEFAULT"]), st.text()),
+        st.dictionaries(st.one_of(st.sampled_from(KEYS), st.text()), VALUES | st.text()),
+    )
+)
+def test_settings_of_any_kind_are_taken_or_refused_with_a_place(
+    sections: dict[str, dict[str, str]],
+) -> None:
+    merged = {name: {**MINIMAL.get(name, {}), **section} for name, section in sections.items()}
+    checked = check_settings({**MINIMAL, **merged})
+    if isinstance(checked, Err):
+        assert checked.err_value and all(line.startswith("[") for line in checked.err_value)
+
+
+LINES = st.one_of(
+    st.sampled_from(["[peers]", "[entry]", "[", "secret", "secret =", "=", " x", "[DEFAULT]"]),
+    st.sampled_from([f"secret = {SECRET}", f"secret {SECRET}", f" {SECRET}", f"secret: {SECRET}"]),
+    st.text(max_size=30),
+)
+
+
+@given(st.lists(LINES, max_size=8))
+def test_a_settings_file_of_any_kind_is_refused_without_its_content(
+    tmp_path_factory: pytest.TempPathFactory, lines: list[str]
+) -> None:
+    path = tmp_path_factory.getbasetemp() / "fuzzed.ini"
+    path.write_text("\n".join(lines), encoding="utf-8", errors="replace")
+    refused = load_settings(path)
+    assert isinstance(refused, Err) and refused.err_value
+    assert SECRET not in repr(refused)
+
+
+@pytest.mark.parametrize(
+    ("section", "key", "value"),
+    [
+        ("platform", "url", "http://127.0.0.1:99999"),
+        ("platform", "url", "http://a:80"),
+        ("peers", "seeds", "127.0.0.1"),
+        ("peers", "seeds", "127.0.0.1:9001, entry-2:9001"),
+        ("peers", "seeds", "127.0.0.1:x"),
+    ],
+)
+def test_an_address_that_cannot_be_dialed_is_refused(section: str, key: str, value: str) -> None:
+    assert isinstance(
+        check_settings({**MINIMAL, section: {**MINIMAL[section], key: value}}),
+        Err,
+    )
+
+
+def test_settings_with_ipv6_addresses_are_taken() -> None:
+    peers = {**MINIMAL["peers"], "seeds": "[::1]:9001, ::1:9002"}
+    assert check_settings(
+        {**MINIMAL, "peers": peers, "platform": {"url": "http://[::1]:80"}}
+    ).is_ok()
