Take unknown workers as half used, and leave one spare slot at Sala's weight

Cause: at a cold start a process took every worker as idle and sent it as many tasks as it has slots, as did the others; and at Sala's weight half a spare slot leaves the last free slot to nobody.

--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -21,6 +21,7 @@
 from redwingport_state.membership import MembershipView
 
 UNREACHABLE_S = 1.0
+UNKNOWN_LOAD = 0.5
 # A choice costs about 2 microseconds per server, and 32 servers have slots for the largest jobs.
 MAX_CANDIDATES = 32
 
@@ -194,6 +195,11 @@
             rack=info.rack,
             cpus=info.cpus,
             memory_mb=info.memory_mb,
+            # Until the first answer others are believed to use half of the slots. A process that
+            # took an unknown server as idle sent it more than it could start.
+            other_active=info.slots * UNKNOWN_LOAD,
+            reported_other=info.slots * UNKNOWN_LOAD,
+            mean_other=info.slots * UNKNOWN_LOAD,
         )
         connections = ServerConnections(self._task_group, info.host, info.port, 1)
         return Server(info, view, connections)
--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -11,7 +11,7 @@
 # Slots that have to look free beyond the one needed, by response weight 0 and 1. Processes that
 # see the same free slot at the same time all try it, and all but one are declined.
 MOST_SPARE_SLOTS = 3.0
-LEAST_SPARE_SLOTS = 0.5
+LEAST_SPARE_SLOTS = 1.0
 # Lateness of the work at which every slot that may be free is tried, by response weight 0 and 1.
 LONGEST_PATIENCE_S = 0.2
 SHORTEST_PATIENCE_S = 0.02
--- a/packages/testbed/tests/bench/test_policy_admission.py
+++ b/packages/testbed/tests/bench/test_policy_admission.py
@@ -92,3 +92,10 @@
     # A wait computed from all slots admitted several times what a process could do in time.
     assert make_pool(other_active=0).expected_wait_s(32.0) == pytest.approx(2.0)
     assert make_pool(other_active=12).expected_wait_s(32.0) == pytest.approx(8.0)
+
+
+def test_an_unknown_worker_is_not_taken_as_idle() -> None:
+    # At a cold start every process sent each worker as many tasks as it has slots.
+    pool = make_pool(other_active=0)
+    view = pool._new_server(pool.server_by_id["worker-01"].info).view
+    assert view.free_slots == SLOTS / 2
