Ask every reachable peer of the domain before a restarted process is ready

Ruled out: a fixed wait, which is too short or too long. A test that delays one peer is still missing.

--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -73,6 +73,7 @@
         self._configuration = configuration
         self._vms = vms
         self._submissions = submissions
+        self._synced_from_platform = False
         self._on_server_leaving = on_server_leaving
 
     @property
@@ -290,10 +291,16 @@
         for revision, text in message.documents:
             self._configuration.take(revision, text, link.peer.vm)
         self.mesh.synced_vms.add(link.peer.vm)
-        own_domain = self.mesh.own_domain
-        linked = {peer.peer.vm for peer in self.mesh.links(own_domain)}
-        # One peer may have missed a revision that another has: all of them are asked.
-        if message.from_platform and linked <= self.mesh.synced_vms:
+        self._synced_from_platform |= message.from_platform
+        self.settle()
+
+    def settle(self) -> None:
+        """Count the documents as complete once every reachable peer of the domain was asked.
+
+        One peer may have missed a revision that another has. To be called about once a second,
+        as a dial that fails also settles the question.
+        """
+        if self._synced_from_platform and not self.mesh.unsettled_peers():
             self._store.from_platform = True
 
     def _take_handover(self, link: PeerLink, message: Handover) -> None:
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -83,6 +83,16 @@
             if not link.is_closed and (domain is None or link.peer.domain == domain):
                 yield link
 
+    def unsettled_peers(self) -> list[str]:
+        """Return the listed peers of the domain that neither synced nor failed to answer."""
+        return [
+            info.vm
+            for info in self._membership.entries_in(self.own_domain)
+            if info.vm != self.own_name
+            and info.vm not in self.synced_vms
+            and not self._failures.get(info.vm)
+        ]
+
     async def broadcast(self, message: Frame, skip: str = "") -> None:
         """Send a message on every link but one.
 
--- a/packages/entry/src/redwingport_entry/process.py
+++ b/packages/entry/src/redwingport_entry/process.py
@@ -202,6 +202,7 @@
     async def _report_state(self) -> None:
         while True:
             await anyio.sleep(1.0)
+            self.exchange.settle()
             self.mesh.queued = self.workers.queue.length + sum(
                 pool.queue.length for pool in self.executors_by_service.values()
             )
