Test the readiness of a restarted process, and share the minimal settings

Cause: the rule that every reachable peer is asked had no test, and three test files held the same settings. Ruled out: a test with a delayed process, whose verdict would rest on time.

--- /dev/null
+++ b/packages/entry/tests/test_readiness.py
@@ -0,0 +1,53 @@
+"""Guard against a restarted process that serves an older revision than a slow peer holds."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+import anyio
+
+from redwingport_entry.metrics import Metrics
+from redwingport_entry.peers.exchange import PeerExchange
+from redwingport_entry.peers.link import PeerLink
+from redwingport_entry.peers.mesh import PeerMesh
+from redwingport_entry.settings import check_settings
+from redwingport_messages.frames import Hello, SyncAnswer
+from redwingport_messages.vms import VmInfo, VmKind, VmList
+from redwingport_state.documents import DocumentStore
+from redwingport_state.membership import MembershipView
+
+
+def _entry(vm: str, domain: str) -> VmInfo:
+    return VmInfo(vm=vm, kind=VmKind.ENTRY, domain=domain, host="127.0.0.1", port=1, peer_port=2)
+
+
+def _link(vm: str) -> PeerLink:
+    return cast(PeerLink, SimpleNamespace(peer=Hello(vm, "creamery", "0" * 16, b"n")))
+
+
+def test_documents_count_as_complete_once_every_reachable_peer_of_the_domain_was_asked(
+    sections: dict[str, dict[str, str]],
+) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as task_group:
+            view = MembershipView()
+            vms = [_entry(f"entry-{n}", "creamery") for n in (1, 2, 3)]
+            view.apply(VmList(version=1, vms=(*vms, _entry("entry-4", "farm-office"))))
+            unused = cast(Any, None)
+            store = DocumentStore()
+            configuration = SimpleNamespace(store=store, take=lambda *_: True)
+            watcher = SimpleNamespace(view=view, take_text=lambda *_: False)
+            exchange = PeerExchange(
+                task_group, cast(Any, configuration), cast(Any, watcher), unused, unused
+            )
+            settings = check_settings(sections).unwrap()
+            exchange.mesh = PeerMesh(
+                task_group, settings, "1" * 16, view, Metrics(), exchange.handle
+            )
+            answer = SyncAnswer([(1, "{}")], "", True)
+            await exchange.handle(_link("entry-2"), answer)
+            assert exchange.mesh.unsettled_peers() == ["entry-3"]
+            assert not store.from_platform
+            await exchange.handle(_link("entry-3"), SyncAnswer([(2, "{}")], "", False))
+            assert store.from_platform
+
+    anyio.run(run)
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -6,28 +6,16 @@
 
 from redwingport_entry.settings import check_settings, load_settings
 
-VALID = {
-    "entry": {
-        "name": "entry-1",
-        "domain": "creamery",
-        "http_host": "127.0.0.1",
-        "http_port": "8001",
-        "peer_host": "127.0.0.1",
-        "peer_port": "9001",
-    },
-    "platform": {"url": "http://127.0.0.1:8000"},
-    "peers": {"secret": "0123456789abcdef"},
-}
+Sections = dict[str, dict[str, str]]
 
 
-def test_valid_sections_give_settings() -> None:
-    checked = check_settings(VALID)
+def test_valid_sections_give_settings(sections: Sections) -> None:
+    checked = check_settings(sections)
     assert isinstance(checked, Ok)
     assert checked.ok_value.entry.http_port == 8001
 
 
-def test_all_errors_are_listed_at_once() -> None:
-    sections = {name: dict(section) for name, section in VALID.items()}
+def test_all_errors_are_listed_at_once(sections: Sections) -> None:
     sections["entry"]["http_port"] = "99999"
     sections["entry"]["colour"] = "red"
     del sections["entry"]["domain"]
@@ -51,10 +39,10 @@
     }
 
 
-def test_errors_and_settings_do_not_show_the_secret() -> None:
-    sections = {**VALID, "peers": {"secret": "too-short-key"}}
+def test_errors_and_settings_do_not_show_the_secret(sections: Sections) -> None:
+    assert "0123456789abcdef" not in repr(check_settings(sections))
+    sections["peers"] = {"secret": "too-short-key"}
     assert "too-short-key" not in repr(check_settings(sections))
-    assert "0123456789abcdef" not in repr(check_settings(VALID))
 
 
 def test_an_unreadable_file_is_one_error(tmp_path: Path) -> None:
--- a/packages/entry/tests/test_worker_pool.py
+++ b/packages/entry/tests/test_worker_pool.py
@@ -15,18 +15,6 @@
 from redwingport_messages.vms import VmInfo, VmKind
 from redwingport_state.membership import MembershipView
 
-SECTIONS = {
-    "entry": {
-        "name": "entry-1",
-        "domain": "creamery",
-        "http_host": "127.0.0.1",
-        "http_port": "8001",
-        "peer_host": "127.0.0.1",
-        "peer_port": "9001",
-    },
-    "platform": {"url": "http://127.0.0.1:8000"},
-    "peers": {"secret": "0123456789abcdef"},
-}
 WORKER = VmInfo(
     vm="worker-1",
     kind=VmKind.WORKER,
@@ -39,8 +27,11 @@
 )
 
 
-async def _with_pool(use: Callable[[WorkerPool], Any]) -> None:
-    settings: Settings = check_settings(SECTIONS).unwrap()
+Sections = dict[str, dict[str, str]]
+
+
+async def _with_pool(sections: Sections, use: Callable[[WorkerPool], Any]) -> None:
+    settings: Settings = check_settings(sections).unwrap()
     async with anyio.create_task_group() as task_group:
         pool = WorkerPool(task_group, settings, MembershipView(), Metrics(), lambda vm: None)
         pool.prepare("0" * 16)
@@ -50,7 +41,7 @@
         task_group.cancel_scope.cancel()
 
 
-def test_a_decision_looks_at_a_bounded_number_of_servers() -> None:
+def test_a_decision_looks_at_a_bounded_number_of_servers(sections: Sections) -> None:
     """Guards against a cost of each start that grows with the number of workers."""
 
     async def use(pool: WorkerPool) -> None:
@@ -65,7 +56,7 @@
         pool.sync([*local[:4], *remote], lambda info: 1)
         assert len(pool.usable(pool.clock())) == 32
 
-    anyio.run(_with_pool, use)
+    anyio.run(_with_pool, sections, use)
 
 
 def _job(pool: WorkerPool, deadline: float) -> Job:
@@ -74,7 +65,9 @@
 
 
 @pytest.mark.parametrize("late_s", [0.0, -1.0])
-def test_tasks_past_their_deadline_are_not_placed_again_and_again(late_s: float) -> None:
+def test_tasks_past_their_deadline_are_not_placed_again_and_again(
+    late_s: float, sections: Sections
+) -> None:
     """A process that was frozen past a job's deadline span for ever when it went on."""
 
     async def use(pool: WorkerPool) -> None:
@@ -83,10 +76,12 @@
         assert pool.queue.length == 0
         assert pool.server_by_id["worker-1"].view.own_active == 0
 
-    anyio.run(_with_pool, use)
+    anyio.run(_with_pool, sections, use)
 
 
-def test_a_deadline_that_passes_before_the_connection_is_free_releases_the_slots() -> None:
+def test_a_deadline_that_passes_before_the_connection_is_free_releases_the_slots(
+    sections: Sections,
+) -> None:
     async def use(pool: WorkerPool) -> None:
         job = _job(pool, pool.clock() + 60)
         pool.add(job)
@@ -94,4 +89,4 @@
         await anyio.sleep(0.2)
         assert pool.server_by_id["worker-1"].view.own_active == 0
 
-    anyio.run(_with_pool, use)
+    anyio.run(_with_pool, sections, use)
