Look for handed over records also when a call is the first to meet a restarted VM

Cause: a process that had not yet met the owner's new incarnation asked only the owner's VM, and gave up with "owner-gone" when that VM answered as another incarnation or the old link broke during the call. Ruled out: asking the whole failure domain at once, which costs messages while the owner lives. The full set was not run again after this change.

--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -140,18 +140,21 @@
         if taken is not None:
             return taken
         error = PeerError("forward", submission_id.vm, "the owner has ended")
-        for vm in self._targets(submission_id):
+        targets = self._targets(submission_id)
+        for vm in targets:
             try:
                 link = await self.mesh.reach(vm)
                 answer = await self._call(link, kind, submission_id, submission)
             except PeerError as failure:
                 error = failure
-                if failure.step == "call":
+                if not self._is_gone(submission_id):
                     break
-                continue
-            # One that joined after the shutdown, as the restarted owner, has no records.
-            if answer.status != UNKNOWN_STATUS or not self._is_gone(submission_id):
-                return answer
+            else:
+                # One that joined after the shutdown, as the restarted owner, has no records.
+                if answer.status != UNKNOWN_STATUS or not self._is_gone(submission_id):
+                    return answer
+            # The call may have been the first to meet the VM's new process.
+            targets += [name for name in self._targets(submission_id) if name not in targets]
         return answer_of_problem(self._unreachable(submission_id, error))
 
     def _targets(self, submission_id: SubmissionId) -> list[str]:
