--- a/packages/entry/src/redwingport_entry/drain.py
+++ b/packages/entry/src/redwingport_entry/drain.py
@@ -6,24 +6,32 @@
 
 from redwingport_entry.exceptions import PeerError
 from redwingport_entry.logs import ROOT, log_event
+from redwingport_entry.peers.exchange import PeerExchange
 from redwingport_entry.peers.mesh import PeerMesh
 from redwingport_entry.submissions import Submissions
 from redwingport_messages.frames import Handover
 from redwingport_state.submissions import Record, SubmissionTable
 
 POLL_S = 0.05
+LINGER_S = 0.2
 MAX_BATCH_BYTES = 1024 * 1024
 
 logger = logging.getLogger(ROOT)
 
 
-async def wait_for_runs(submissions: Submissions, timeout_s: float) -> None:
-    """Wait until no submission is running, then start no more.
+async def wait_for_runs(
+    submissions: Submissions, exchange: PeerExchange, timeout_s: float
+) -> None:
+    """Wait until no submission is running and each forwarded one was answered.
+
+    No submission is started afterwards.
 
     :param timeout_s: longest wait, in seconds.
     """
     deadline = anyio.current_time() + timeout_s
-    while submissions.table.running() and anyio.current_time() < deadline:
+    while anyio.current_time() < deadline:
+        if not submissions.table.running() and not exchange.forwards_in_progress:
+            break
         await anyio.sleep(POLL_S)
     submissions.closed = True
 
@@ -46,6 +54,8 @@
                 )
         sent += len(message.records)
     log_event(logger, logging.INFO, "handover", records=sent, peers=len(links))
+    # Closing a link with unread bytes resets it, and the peer may lose what was sent last.
+    await anyio.sleep(LINGER_S)
 
 
 def _messages(table: SubmissionTable) -> list[Handover]:
--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -74,6 +74,7 @@
         self._vms = vms
         self._submissions = submissions
         self._synced_from_platform = False
+        self.forwards_in_progress = 0
         self._on_server_leaving = on_server_leaving
 
     @property
@@ -217,19 +218,23 @@
         )
 
     async def _answer_forward(self, link: PeerLink, message: Forward) -> None:
-        answer = await self._run_forward(message)
-        await self._answer(
-            link,
-            ForwardAnswer(
-                message.call,
-                message.submission_id,
-                str(answer.outcome),
-                answer.status,
-                answer.content_type,
-                answer.body,
-                answer.retry_after_s,
-            ),
-        )
+        self.forwards_in_progress += 1
+        try:
+            answer = await self._run_forward(message)
+            await self._answer(
+                link,
+                ForwardAnswer(
+                    message.call,
+                    message.submission_id,
+                    str(answer.outcome),
+                    answer.status,
+                    answer.content_type,
+                    answer.body,
+                    answer.retry_after_s,
+                ),
+            )
+        finally:
+            self.forwards_in_progress -= 1
 
     async def _answer(self, link: PeerLink, message: Frame) -> None:
         try:
--- a/packages/entry/src/redwingport_entry/process.py
+++ b/packages/entry/src/redwingport_entry/process.py
@@ -109,7 +109,8 @@
             # The balancer needs a moment to see that the process is not ready.
             await anyio.sleep(self.settings.limits.drain_notice_s)
             server.should_exit = True
-        await wait_for_runs(self.submissions, self.settings.limits.drain_timeout_s)
+        timeout_s = self.settings.limits.drain_timeout_s
+        await wait_for_runs(self.submissions, self.exchange, timeout_s)
         await hand_over(self.submissions, self.mesh, self.settings.entry.domain)
 
     def start_drain(self) -> None:
