--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -10,10 +10,10 @@
 SHORTEST_RETRY_AGE_S = 0.25
 # Slots that have to look free beyond the one needed, by response weight 0 and 1. Processes that
 # see the same free slot at the same time all try it, and all but one are declined.
-MOST_SPARE_SLOTS = 3.0
+MOST_SPARE_SLOTS = 4.0
 LEAST_SPARE_SLOTS = 1.0
 # Lateness of the work at which every slot that may be free is tried, by response weight 0 and 1.
-LONGEST_PATIENCE_S = 0.2
+LONGEST_PATIENCE_S = 0.3
 SHORTEST_PATIENCE_S = 0.02
 
 
@@ -85,8 +85,8 @@
     @property
     def patience(self) -> float:
         """Return 1 for work that is in time, and less down to 0 the later it is."""
-        span_s = LONGEST_PATIENCE_S - SHORTEST_PATIENCE_S
-        patience_s = LONGEST_PATIENCE_S - span_s * self.response_weight
+        weight = self.response_weight
+        patience_s = LONGEST_PATIENCE_S * (1 - weight) + SHORTEST_PATIENCE_S * weight
         return min(1.0, max(0.0, 1.0 - self.late_s / patience_s))
 
 
