Send heartbeats beside other traffic, and do not escape results

Cause, found by reading and listed as not proved: a link with constant other messages never carried a heartbeat, which holds the load and the version of the VM list; and the escaping of non-ASCII results could triple an answer past the frame limit of 16 MiB, which closed the link. Ruled out: a larger frame. Result: a heartbeat at least every third interval; results are written as they came. 18 tests of the package pass.

--- a/packages/entry/src/redwingport_entry/gateways/job.py
+++ b/packages/entry/src/redwingport_entry/gateways/job.py
@@ -81,11 +81,13 @@
             "results": [self.results[number] for number in range(len(self.tasks))],
         }
         try:
-            text = json.dumps(body, allow_nan=False)
+            # Escapes of all non-ASCII characters could triple the size past what a frame holds.
+            text = json.dumps(body, allow_nan=False, ensure_ascii=False)
         except ValueError:
             detail = "A result has a number that is not finite."
             return answer_of_problem(failed("invalid-result", detail, step="collect results"))
-        return Answer(Outcome.COMPLETE, 200, JSON, text.encode())
+        # A lone surrogate is written as the escape it came as.
+        return Answer(Outcome.COMPLETE, 200, JSON, text.encode(errors="backslashreplace"))
 
 
 @dataclass(slots=True)
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -31,6 +31,8 @@
 SEED_DELAY_S = 0.5
 SEEDS_AT_ONCE = 3
 UNWANTED_AFTER_S = 10.0
+# Heartbeats that other messages may stand in for, at most.
+LONGEST_BEAT_GAP = 3
 
 logger = logging.getLogger(ROOT)
 
@@ -138,7 +140,9 @@
                 for link in self.links():
                     near = link.peer.domain == self.own_domain
                     interval_s = peers.heartbeat_s if near else peers.remote_heartbeat_s
-                    if now - link.sent_at >= interval_s:
+                    # Other messages show that the process is alive, but not its load and list.
+                    quiet = now - link.sent_at >= interval_s
+                    if quiet or now - link.beat_at >= interval_s * LONGEST_BEAT_GAP:
                         task_group.start_soon(self._send_quietly, link, self.heartbeat())
 
     def heartbeat(self) -> Heartbeat:
