Let each worker prefer one process for its last free slots

Processes of one failure domain and those that spill over into it see the same last slots; and work that was 0.3 s late tried every slot.

--- a/packages/entry/src/redwingport_entry/gateways/pool.py
+++ b/packages/entry/src/redwingport_entry/gateways/pool.py
@@ -80,6 +80,7 @@
             if server is None:
                 server = self.server_by_id[vm] = self._new_server(info)
             server.info = info
+            server.view.preferred = self._is_preferred(info)
             server.connections.limit = connection_limit(info)
             server.view.leaving = server.view.leaving or vm in self.membership.leaving
 
@@ -177,6 +178,17 @@
             view.held_slots = 0
         fade_load(view, now)
 
+    def _is_preferred(self, info: VmInfo) -> bool:
+        """Tell whether this process is the one chosen for a server's last free slots.
+
+        Every process computes the same choice among the entry VMs of the server's failure
+        domain, so no message is needed. A VM of twice the size counts twice.
+        """
+        entries = self.membership.entries_in(info.domain)
+        names = [f"{e.vm}/{n}" for e in entries for n in range(max(1, round(e.weight)))]
+        chosen = rendezvous_subset(info.vm, names, 1)
+        return bool(chosen) and chosen[0].partition("/")[0] == self.settings.entry.name
+
     def _subset(self, infos: list[VmInfo]) -> list[VmInfo]:
         size = self.settings.limits.subset_size
         own = self.settings.entry
--- a/packages/entry/src/redwingport_entry/settings.py
+++ b/packages/entry/src/redwingport_entry/settings.py
@@ -101,7 +101,7 @@
 
     url: Url
     poll_s: float = Field(default=5.0, gt=0, le=60)
-    list_poll_s: float = Field(default=2.0, gt=0, le=60)
+    list_poll_s: float = Field(default=4.0, gt=0, le=60)
     timeout_s: float = Field(default=2.0, gt=0, le=60)
 
 
@@ -122,7 +122,7 @@
     secret: SecretStr = Field(min_length=MIN_SECRET_CHARACTERS)
     seeds: Addresses = ()
     links_per_domain: int = Field(default=2, ge=1, le=16)
-    heartbeat_s: float = Field(default=1.0, gt=0, le=60)
+    heartbeat_s: float = Field(default=2.0, gt=0, le=60)
     remote_heartbeat_s: float = Field(default=4.0, gt=0, le=60)
     timeout_s: float = Field(default=10.0, gt=0, le=300)
     tls_certificate: str = ""
--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -6,14 +6,16 @@
 
 DEFAULT_RUN_S = 0.2
 # Age of load facts at which a server that seems full is tried again, by response weight 0 and 1.
-LONGEST_RETRY_AGE_S = 2.0
+LONGEST_RETRY_AGE_S = 4.0
 SHORTEST_RETRY_AGE_S = 0.25
 # Slots that have to look free beyond the one needed, by response weight 0 and 1. Processes that
 # see the same free slot at the same time all try it, and all but one are declined.
-MOST_SPARE_SLOTS = 4.0
+MOST_SPARE_SLOTS = 8.0
 LEAST_SPARE_SLOTS = 1.0
+# The same on a server that prefers this process: the others leave its last slots alone.
+PREFERRED_SPARE_SLOTS = 2.0
 # Lateness of the work at which every slot that may be free is tried, by response weight 0 and 1.
-LONGEST_PATIENCE_S = 0.3
+LONGEST_PATIENCE_S = 2.5
 SHORTEST_PATIENCE_S = 0.02
 
 
@@ -33,6 +35,7 @@
     :param slowness: run time here over run time at the mean server, learned.
     :param load_at: monotonic time of the last load facts.
     :param start_by_task: monotonic start time of each task of this process.
+    :param preferred: whether this process is the one that uses the server's last free slots.
     :param leaving: whether the server takes no new work.
     :param ejected_until: monotonic time until which it gets no work.
     """
@@ -52,6 +55,7 @@
     slowness: float = 1.0
     load_at: float = 0.0
     start_by_task: dict[object, float] = field(default_factory=dict)
+    preferred: bool = False
     leaving: bool = False
     ejected_until: float = 0.0
 
@@ -98,7 +102,7 @@
     """
     if candidate.held_slots > 0:
         return True
-    if candidate.free_slots >= 1 + _spare_slots(work):
+    if candidate.free_slots >= 1 + _spare_slots(candidate, work):
         return True
     span_s = LONGEST_RETRY_AGE_S - SHORTEST_RETRY_AGE_S
     retry_age_s = LONGEST_RETRY_AGE_S - span_s * work.response_weight
@@ -106,10 +110,12 @@
     return candidate.own_active == 0 and work.now - candidate.load_at > retry_age_s
 
 
-def _spare_slots(work: Work) -> float:
+def _spare_slots(candidate: Candidate, work: Work) -> float:
     if work.may_queue:
         # A server that holds work beyond its slots declines nothing.
         return 0.0
+    if candidate.preferred:
+        return PREFERRED_SPARE_SLOTS * work.patience
     spread = MOST_SPARE_SLOTS - LEAST_SPARE_SLOTS
     return (MOST_SPARE_SLOTS - spread * work.response_weight) * work.patience
 
