Ask one peer for a newer VM list instead of sending it to every link

Ruled out: sending differences, which need a history of lists. A process that reads the platform's list ignores its peers'; one that cannot asks the peer whose heartbeat names a newer list, at most once a second. Frame 13 is gone.

--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -27,7 +27,6 @@
     ServerLeaving,
     SyncAnswer,
     SyncRequest,
-    VmListNews,
 )
 from redwingport_messages.ids import SubmissionId, parse_submission_id
 from redwingport_messages.outcomes import (
@@ -43,6 +42,7 @@
 from redwingport_state.membership import MembershipView
 
 FORWARD_GRACE_S = 1.5
+PULL_INTERVAL_S = 1.0
 STILL_RUNNING = "still-running"
 # Status of an answer that tells nothing of the submission.
 UNKNOWN_STATUS = 504
@@ -75,6 +75,7 @@
         self._submissions = submissions
         self._synced_from_platform = False
         self.forwards_in_progress = 0
+        self._pulled_at = 0.0
         self._on_server_leaving = on_server_leaving
 
     @property
@@ -98,8 +99,6 @@
                 self._task_group.start_soon(self._answer, link, self._sync_answer())
             case SyncAnswer():
                 self._take_sync(link, message)
-            case VmListNews():
-                self._vms.take_text(message.vm_list, link.peer.vm)
             case ServerLeaving():
                 for vm in message.servers:
                     if self._membership.mark_leaving(vm):
@@ -279,11 +278,22 @@
         link.heartbeat = message
         link.leaving = message.leaving
         self._membership.weight_by_vm[link.peer.vm] = message.weight
-        if first:
+        if first or self._wants_list(message.vms_version):
+            self._pulled_at = anyio.current_time()
             self._task_group.start_soon(self._answer, link, SyncRequest())
-        elif message.vms_version < self._membership.vm_list.version:
-            news = VmListNews(self._membership.vm_list.model_dump_json())
-            self._task_group.start_soon(self._answer, link, news)
+
+    def _wants_list(self, version: int) -> bool:
+        """Tell whether to ask a peer for its VM list.
+
+        A process that reads the platform's list needs no other. One that cannot asks one peer
+        at a time: if each peer sent the list unasked, one change of a list of 2,000 VMs would
+        cost every process a copy of 500 KB for each of its links.
+        """
+        return (
+            version > self._membership.vm_list.version
+            and not self._vms.platform_answers
+            and anyio.current_time() - self._pulled_at >= PULL_INTERVAL_S
+        )
 
     def _sync_answer(self) -> SyncAnswer:
         rows = [
--- a/packages/entry/src/redwingport_entry/vms.py
+++ b/packages/entry/src/redwingport_entry/vms.py
@@ -23,6 +23,7 @@
     :param view: the view.
     :param settings: section ``[platform]``.
     :param on_change: called after the view has changed.
+    :ivar platform_answers: whether the last read of the platform's list succeeded.
     """
 
     def __init__(
@@ -36,15 +37,18 @@
         self._platform = platform
         self._settings = settings
         self._on_change = on_change
+        self.platform_answers = False
 
     async def poll(self) -> None:
         """Read the list on a timer."""
         while True:
             try:
                 vm_list = await self._platform.read_vms()
+                self.platform_answers = True
                 if vm_list is not None:
                     self.take(vm_list, "platform")
             except PlatformError as error:
+                self.platform_answers = False
                 log_event(logger, logging.WARNING, "poll-failed", error=str(error))
             await anyio.sleep(self._settings.list_poll_s)
 
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -184,16 +184,6 @@
     last: bool
 
 
-@checked_dataclass(frozen=True, slots=True, config=_STRICT)
-class VmListNews:
-    """Pass on the platform's VM list.
-
-    :param vm_list: JSON text of the list.
-    """
-
-    vm_list: str
-
-
 Frame = (
     Hello
     | Proof
@@ -207,7 +197,6 @@
     | RevisionQuery
     | RevisionAnswer
     | Handover
-    | VmListNews
 )
 
 
@@ -222,6 +211,7 @@
 
 
 # The numbers are part of the protocol: a number is never used again for another message.
+# 13 was a VM list that was sent unasked.
 _CODEC_BY_CODE = {
     1: _codec(Hello),
     2: _codec(Proof),
@@ -235,7 +225,6 @@
     10: _codec(RevisionQuery),
     11: _codec(RevisionAnswer),
     12: _codec(Handover),
-    13: _codec(VmListNews),
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
