--- a/packages/entry/tests/test_readiness.py
+++ b/packages/entry/tests/test_readiness.py
@@ -10,7 +10,7 @@
 from redwingport_entry.peers.link import PeerLink
 from redwingport_entry.peers.mesh import PeerMesh
 from redwingport_entry.settings import check_settings
-from redwingport_messages.frames import Hello, SyncAnswer
+from redwingport_messages.frames import Heartbeat, Hello, SyncAnswer, SyncRequest
 from redwingport_messages.vms import VmInfo, VmKind, VmList
 from redwingport_state.documents import DocumentStore
 from redwingport_state.membership import MembershipView
@@ -51,3 +51,35 @@
             assert store.from_platform
 
     anyio.run(run)
+
+
+def test_only_a_process_without_the_platform_asks_a_peer_for_a_newer_list(
+    sections: dict[str, dict[str, str]],
+) -> None:
+    """Guards against one change of the VM list that is sent over every link."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as task_group:
+            view = MembershipView()
+            view.apply(VmList(version=1, vms=(_entry("entry-1", "creamery"),)))
+            unused = cast(Any, None)
+            watcher = SimpleNamespace(view=view, platform_answers=True)
+            exchange = PeerExchange(task_group, unused, cast(Any, watcher), unused, unused)
+            sent: list[object] = []
+
+            async def send(message: object) -> None:
+                sent.append(message)
+
+            old = Heartbeat(1.0, 0, False, 1)
+            link = SimpleNamespace(peer=_link("entry-2").peer, heartbeat=old, send=send)
+            newer = Heartbeat(1.0, 0, False, 2)
+            await exchange.handle(cast(PeerLink, link), newer)
+            await anyio.sleep(0.01)
+            assert sent == []
+            watcher.platform_answers = False
+            for _ in range(2):
+                await exchange.handle(cast(PeerLink, link), newer)
+            await anyio.sleep(0.01)
+            assert sent == [SyncRequest()]
+
+    anyio.run(run)
