Remove a constant and an exception that nothing uses

Cause: found by a search for names that stand only at their definition. Ruled out: RunTimes.learn_usage, which a test uses and which waits for its caller: usage reports are parsed but not learned from yet. Result: all tests of policy and entry pass.

--- a/packages/entry/src/redwingport_entry/exceptions.py
+++ b/packages/entry/src/redwingport_entry/exceptions.py
@@ -22,15 +22,3 @@
 
 class PeerError(EntryError):
     """Report that a peer broke the protocol or the link."""
-
-
-class SettingsError(EntryError):
-    """Report every error of a settings file.
-
-    :param path: the file.
-    :param errors: one line per error, with section, key and what is allowed.
-    """
-
-    def __init__(self, path: str, errors: tuple[str, ...]) -> None:
-        super().__init__("read settings", path, f"{len(errors)} errors")
-        self.errors = errors
--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-DEFAULT_RUN_S = 0.2
 # Age of load facts at which a server that seems full is tried again, by response weight 0 and 1.
 LONGEST_RETRY_AGE_S = 4.0
 SHORTEST_RETRY_AGE_S = 0.25
