Use the usual names for heartbeats and new revisions

Cause: found in the read-through: beat, beat_at and on_news need explaining. Ruled out: nothing else is named so.

--- a/packages/entry/src/redwingport_entry/configuration.py
+++ b/packages/entry/src/redwingport_entry/configuration.py
@@ -34,7 +34,7 @@
     :param store: the documents in force.
     :param settings: section ``[platform]``.
     :param metrics: metrics of the process.
-    :param on_news: called with each revision that was new to this process.
+    :param on_new_revision: called with each revision that was new to this process.
     """
 
     def __init__(
@@ -43,13 +43,13 @@
         store: DocumentStore,
         settings: PlatformSettings,
         metrics: Metrics,
-        on_news: Callable[[StoredDocument], None],
+        on_new_revision: Callable[[StoredDocument], None],
     ) -> None:
         self.store = store
         self._platform = platform
         self._settings = settings
         self._metrics = metrics
-        self._on_news = on_news
+        self._on_new_revision = on_new_revision
 
     async def poll(self) -> None:
         """Read the index on a timer and fetch the documents that are newer there."""
@@ -99,7 +99,7 @@
             revision=revision,
             source=source,
         )
-        self._on_news(stored)
+        self._on_new_revision(stored)
         return True
 
     async def catch_up(self, name: str, expected_revision: int) -> Result[None, Problem]:
--- a/packages/entry/src/redwingport_entry/peers/link.py
+++ b/packages/entry/src/redwingport_entry/peers/link.py
@@ -57,7 +57,7 @@
         self.dialed = dialed
         self.leaving = False
         self.sent_at = 0.0
-        self.beat_at = 0.0
+        self.heartbeat_sent_at = 0.0
         self.called_at = anyio.current_time()
         self.heartbeat: Heartbeat | None = None
         self._frames = frames
@@ -90,7 +90,7 @@
             raise PeerError("send", self.peer.vm, type(error).__name__) from error
         self.sent_at = anyio.current_time()
         if isinstance(message, Heartbeat):
-            self.beat_at = self.sent_at
+            self.heartbeat_sent_at = self.sent_at
         kind = type(message).__name__
         self._metrics.messages.labels(f"peer-{kind}").inc()
         self._metrics.peer_bytes.labels(kind).inc(size)
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -31,8 +31,8 @@
 SEED_DELAY_S = 0.5
 SEEDS_AT_ONCE = 3
 UNWANTED_AFTER_S = 10.0
-# Heartbeats that other messages may stand in for, at most.
-LONGEST_BEAT_GAP = 3
+# Longest gap between heartbeats on a link with other traffic, in heartbeat intervals.
+MAX_HEARTBEAT_GAP = 3
 
 logger = logging.getLogger(ROOT)
 
@@ -129,7 +129,7 @@
                     self._supervisor.start(f"dial-{name}", partial(self._dial, name, host, port))
             await anyio.sleep(DIAL_INTERVAL_S)
 
-    async def beat(self) -> None:
+    async def send_heartbeats(self) -> None:
         """Send heartbeats on links on which nothing else was sent lately."""
         peers = self._settings.peers
         while True:
@@ -142,7 +142,7 @@
                     interval_s = peers.heartbeat_s if near else peers.remote_heartbeat_s
                     # Other messages show that the process is alive, but not its load and list.
                     quiet = now - link.sent_at >= interval_s
-                    if quiet or now - link.beat_at >= interval_s * LONGEST_BEAT_GAP:
+                    if quiet or now - link.heartbeat_sent_at >= interval_s * MAX_HEARTBEAT_GAP:
                         task_group.start_soon(self._send_quietly, link, self.heartbeat())
 
     def heartbeat(self) -> Heartbeat:
--- a/packages/entry/src/redwingport_entry/process.py
+++ b/packages/entry/src/redwingport_entry/process.py
@@ -97,7 +97,7 @@
             "workers": self.workers.run,
             "peer-listener": self.mesh.listen,
             "peer-dialer": self.mesh.dial,
-            "peer-heartbeats": self.mesh.beat,
+            "peer-heartbeats": self.mesh.send_heartbeats,
             "state-report": self._report_state,
         }.items():
             self._supervisor.start(name, child)
