--- a/packages/testbed/src/redwingport_testbed/standins/common.py
+++ b/packages/testbed/src/redwingport_testbed/standins/common.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections import Counter
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 from starlette.requests import Request
@@ -13,6 +13,7 @@
 from redwingport_messages.documents import describe_errors
 from redwingport_testbed.standins.server import ABORT_KEY
 
+B = TypeVar("B", bound="BackendFaults")
 F = TypeVar("F", bound="Faults")
 M = TypeVar("M", bound=BaseModel)
 
@@ -106,6 +107,29 @@
     return faults.model_copy(update=change.model_dump(exclude_unset=True))
 
 
+class ControlledServer(Generic[B]):
+    """Hold what the control routes of workers and executors share.
+
+    :param faults: the fault settings at the start.
+    """
+
+    def __init__(self, faults: B) -> None:
+        self.faults = faults
+        self.gate = Gate()
+        self.starts = StartCounts()
+
+    async def _get_starts(self, request: Request) -> Response:
+        return json_response(self.starts.starts())
+
+    async def _set_faults(self, request: Request) -> Response:
+        try:
+            self.faults = await changed_faults(request, self.faults)
+        except ValidationError as error:
+            return invalid_response(error)
+        self.gate.set(self.faults.hang)
+        return json_response(self.faults.model_dump())
+
+
 async def read_body(receive: Receive) -> bytes | None:
     """Read the whole body of a request.
 
--- a/packages/testbed/src/redwingport_testbed/standins/executor.py
+++ b/packages/testbed/src/redwingport_testbed/standins/executor.py
@@ -23,10 +23,7 @@
 )
 from redwingport_testbed.standins.common import (
     BackendFaults,
-    Gate,
-    StartCounts,
-    changed_faults,
-    invalid_response,
+    ControlledServer,
     json_response,
     read_body,
 )
@@ -78,14 +75,12 @@
     speed: float = 1.0
 
 
-class Executor:
+class Executor(ControlledServer[ExecutorFaults]):
     """Answer for one executor."""
 
     def __init__(self, settings: ExecutorSettings) -> None:
         self.settings = settings
-        self.faults = ExecutorFaults()
-        self.gate = Gate()
-        self.starts = StartCounts()
+        super().__init__(ExecutorFaults())
         self.counts: Counter[str] = Counter()
         self._slots = anyio.Semaphore(settings.slots)
         self._queued = 0
@@ -132,17 +127,6 @@
         load = {"running": self._active, "queued": self._queued, "declines": 0}
         return json_response(self.starts.as_json() | counts | load | {"ended": ended})
 
-    async def _get_starts(self, request: Request) -> Response:
-        return json_response(self.starts.starts())
-
-    async def _set_faults(self, request: Request) -> Response:
-        try:
-            self.faults = await changed_faults(request, self.faults)
-        except ValidationError as error:
-            return invalid_response(error)
-        self.gate.set(self.faults.hang)
-        return json_response(self.faults.model_dump())
-
 
 class _Operations:
     """Answer requests; a broken connection does not end a request that was read whole."""
--- a/packages/testbed/src/redwingport_testbed/standins/worker.py
+++ b/packages/testbed/src/redwingport_testbed/standins/worker.py
@@ -23,9 +23,7 @@
 )
 from redwingport_testbed.standins.common import (
     BackendFaults,
-    Gate,
-    StartCounts,
-    changed_faults,
+    ControlledServer,
     error_response,
     invalid_response,
     json_response,
@@ -125,7 +123,7 @@
     timer: asyncio.TimerHandle | None = None
 
 
-class Worker:
+class Worker(ControlledServer[BackendFaults]):
     """Answer for one worker.
 
     A slot is running, leased and idle, or free. An idle slot stays leased until the hold
@@ -134,9 +132,7 @@
 
     def __init__(self, settings: WorkerSettings) -> None:
         self.settings = settings
-        self.faults = BackendFaults()
-        self.gate = Gate()
-        self.starts = StartCounts()
+        super().__init__(BackendFaults())
         self.counts: Counter[str] = Counter()
         self.run_by_task: dict[tuple[str, int, int], _Run] = {}
         self._lease_by_holder: dict[str, _Lease] = {}
@@ -344,17 +340,6 @@
         running = len(self.run_by_task)
         return json_response(self.starts.as_json() | counts | {"running": running, "ended": ended})
 
-    async def _get_starts(self, request: Request) -> Response:
-        return json_response(self.starts.starts())
-
-    async def _set_faults(self, request: Request) -> Response:
-        try:
-            self.faults = await changed_faults(request, self.faults)
-        except ValidationError as error:
-            return invalid_response(error)
-        self.gate.set(self.faults.hang)
-        return json_response(self.faults.model_dump())
-
 
 class _Starts:
     """Stream the answer to a start request.
