--- a/packages/testbed/src/redwingport_testbed/standins/worker.py
+++ b/packages/testbed/src/redwingport_testbed/standins/worker.py
@@ -7,7 +7,7 @@
 from time import monotonic
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import ValidationError
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -29,6 +29,13 @@
     json_response,
     read_body,
 )
+from redwingport_testbed.standins.worker_bodies import (
+    CheckpointIn,
+    StartsIn,
+    StopsIn,
+    TaskIn,
+    ThrottleIn,
+)
 
 LEASE_MS = 3_000.0
 DEFAULT_WORK_MS = 50.0
@@ -36,55 +43,6 @@
 KEPT_USAGE_REPORTS = 1_024
 
 
-class _Body(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
-class TaskIn(_Body):
-    """Describe one task of a start request."""
-
-    task: int = Field(ge=0)
-    attempt: int = Field(ge=0)
-    payload: Any = None
-    expected_ms: float = Field(gt=0)
-    cpus: float = Field(default=1.0, ge=0)
-    memory_mb: float = Field(default=0.0, ge=0)
-
-
-class StartsIn(_Body):
-    """Validate the body that ``StartRequest.encode`` writes."""
-
-    submission: str
-    service: str
-    holder: str = Field(min_length=1)
-    lease: str
-    hold_ms: int = Field(ge=0)
-    start_before: float
-    tasks: tuple[TaskIn, ...]
-
-
-class StopsIn(_Body):
-    """Name tasks to stop."""
-
-    submission: str
-    tasks: tuple[int, ...]
-
-
-class ThrottleIn(_Body):
-    """Name a task and the factor on the rest of its run time."""
-
-    submission: str
-    task: int
-    factor: float = Field(gt=0)
-
-
-class CheckpointIn(_Body):
-    """Name a task to checkpoint."""
-
-    submission: str
-    task: int
-
-
 @dataclass(frozen=True, slots=True)
 class WorkerSettings:
     """State what a worker is like.
