Return the link when a dial succeeds

Cause of the red drain test, found by reading: reach() waited while the VM was being dialled, and a successful dial ends that state, so the wait ended with no connection although the link stood; the forward was answered owner-unreachable. Before: the new test raises PeerError, no connection.

--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -168,10 +168,11 @@
             )
         with anyio.move_on_after(DIAL_TIMEOUT_S):
             while vm in self._dialing:
-                link = self.link_by_vm.get(vm)
-                if link is not None and not link.is_closed:
-                    return link
                 await anyio.sleep(0.01)
+        # A dial that succeeds also ends the wait.
+        link = self.link_by_vm.get(vm)
+        if link is not None and not link.is_closed:
+            return link
         raise PeerError("reach peer", vm, "no connection")
 
     def _wanted(self) -> Iterator[tuple[str, str, int]]:
--- a/packages/entry/tests/test_readiness.py
+++ b/packages/entry/tests/test_readiness.py
@@ -83,3 +83,25 @@
             assert sent == [SyncRequest()]
 
     anyio.run(run)
+
+
+def test_a_dial_that_succeeds_gives_the_link(sections: dict[str, dict[str, str]]) -> None:
+    """Guards against a forward that is refused while the first link to its owner is opened."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as task_group:
+            view = MembershipView()
+            view.apply(VmList(version=1, vms=(_entry("entry-2", "creamery"),)))
+            settings = check_settings(sections).unwrap()
+            mesh = PeerMesh(task_group, settings, "1" * 16, view, Metrics(), cast(Any, None))
+            link = cast(PeerLink, SimpleNamespace(is_closed=False))
+
+            async def dial(name: str, host: str, port: int) -> None:
+                await anyio.sleep(0.005)
+                mesh.link_by_vm[name] = link
+                mesh._dialing.discard(name)
+
+            mesh._dial = dial  # type: ignore[method-assign]
+            assert await mesh.reach("entry-2") is link
+
+    anyio.run(run)
