Call no timer before it is due

Cause: uvloop rounds delays to whole milliseconds, up or down. A timeout that fires half a millisecond early finds that it is not due and asks for another call at once, so each timeout kept the processor busy for up to half a millisecond.

--- /dev/null
+++ b/packages/dispatch/src/redwingport_dispatch/event_loop.py
@@ -0,0 +1,34 @@
+"""The event loop of a process."""
+
+import asyncio
+import math
+from collections.abc import Callable
+from contextvars import Context
+from typing import TypeVarTuple
+
+import uvloop
+
+Arguments = TypeVarTuple("Arguments")
+
+# Keeps a time that is a whole number of milliseconds but for its last binary digits.
+ROUNDING_MS = 1e-6
+
+
+class PunctualLoop(uvloop.Loop):
+    """Call no timer before it is due.
+
+    uvloop rounds delays to the nearest millisecond. A timeout that looks at the clock when it is
+    called half a millisecond early asks for another call at once, and so keeps the processor busy
+    until it is due.
+    """
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[*Arguments], object],
+        *args: *Arguments,
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Call a function at or just after a time of the loop's clock, in seconds."""
+        delay_ms = math.ceil((when - self.time()) * 1000 - ROUNDING_MS)
+        return self.call_later(max(delay_ms, 0) / 1000, callback, *args, context=context)
--- /dev/null
+++ b/packages/dispatch/tests/test_event_loop.py
@@ -0,0 +1,55 @@
+import asyncio
+
+import anyio
+import pytest
+
+from redwingport_dispatch.event_loop import PunctualLoop
+
+
+@pytest.fixture
+def loop():
+    loop = PunctualLoop()
+    yield loop
+    loop.close()
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.0002, 0.0101, 0.0104, 0.0109, 0.02])
+def test_a_timer_is_not_called_before_it_is_due(loop, delay_s):
+    async def measure():
+        due_at = loop.time() + delay_s
+        called_at = loop.create_future()
+        loop.call_at(due_at, lambda: called_at.set_result(loop.time()))
+        return await called_at - due_at
+
+    # The loop's clock has a resolution of a millisecond; due times fall between its ticks.
+    assert loop.run_until_complete(measure()) > -1e-6
+
+
+def test_a_timeout_does_not_spin_until_it_is_due(monkeypatch):
+    """Guard against timers that fire early and are set again until the deadline has come."""
+    calls = 0
+    call_at = PunctualLoop.call_at
+
+    def count(self, *args, **kwargs):
+        nonlocal calls
+        calls += 1
+        return call_at(self, *args, **kwargs)
+
+    monkeypatch.setattr(PunctualLoop, "call_at", count)
+    timeouts = 20
+
+    async def time_out():
+        for number in range(timeouts):
+            with anyio.move_on_after(0.0104 + number / 10_000):
+                await anyio.sleep_forever()
+
+    anyio.run(time_out, backend_options={"loop_factory": PunctualLoop})
+    assert calls <= 2 * timeouts
+
+
+def test_the_loop_is_the_one_that_processes_run_on():
+    async def running():
+        return asyncio.get_running_loop()
+
+    loop = anyio.run(running, backend_options={"loop_factory": PunctualLoop})
+    assert isinstance(loop, PunctualLoop)
