Let tasks that would be late on a slow server wait for a faster one

Change: such a task stays queued when a run on a faster server is expected to end so soon that the task would end there in at most 0.8 of the time. Each waiting task takes one such place, so a burst still fills the slow servers.

Wide long jobs are still the class served worst.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
@@ -48,7 +48,7 @@
     def _remaining_s(self) -> list[float]:
         """Return the times that runs are expected to take yet, in seconds, shortest first."""
         return sorted(
-            max(0.0, run.ordered_at + run.expected_s - self._now)
+            run.remaining_s(self._now)
             for server in self._servers
             for run in server.run_by_task.values()
         )
--- /dev/null
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/openings.py
@@ -0,0 +1,76 @@
+"""Places that runs will free soon, for tasks that are better off waiting for one."""
+
+from collections.abc import Callable, Mapping
+
+from redwingport_dispatch.scheduling.servers import ServerState
+from redwingport_dispatch.scheduling.work import Run, Work
+
+# Time from the end of a run to the start of the next one in its place: the end is listed, and the
+# order is sent.
+TURNAROUND_S = 0.01
+# A task waits for a place only where it would end within this share of the time that it takes on
+# the server that has room now: the ends of runs are estimates.
+LEAST_GAIN_SHARE = 0.8
+
+
+class Openings:
+    """Hold the places that runs are expected to free, for one pass of the queue.
+
+    Each task that waits takes one, so that a long queue does not wait for the same few places.
+
+    :param slowness_by_server: the servers that can be used, and their likely slowness.
+    :param now: monotonic time, in seconds.
+    """
+
+    def __init__(self, slowness_by_server: Mapping[ServerState, float], now: float) -> None:
+        self._slowness_by_server = slowness_by_server
+        self._now = now
+        self._openings: list[tuple[float, ServerState, Run]] | None = None
+
+    def take_better(
+        self,
+        work: Work,
+        expected_s: float,
+        run_s_at: Callable[[ServerState, float], float],
+    ) -> bool:
+        """Take the place at which a task ends first, if that is well before its end elsewhere.
+
+        :param expected_s: run time on the best server that has room now, in seconds.
+        :param run_s_at: returns the run time on a server of a given slowness, in seconds.
+        :returns: whether there was such a place, so that the task should wait.
+        """
+        best: tuple[float, int] | None = None
+        limit_s = LEAST_GAIN_SHARE * expected_s
+        openings = self._sorted()
+        for position, (free_s, server, run) in enumerate(openings):
+            if free_s >= limit_s:
+                break
+            if not _fits(server, run, work):
+                continue
+            end_s = free_s + TURNAROUND_S + run_s_at(server, self._slowness_by_server[server])
+            if end_s < limit_s and (best is None or end_s < best[0]):
+                best = end_s, position
+        if best is None:
+            return False
+        del openings[best[1]]
+        return True
+
+    def _sorted(self) -> list[tuple[float, ServerState, Run]]:
+        """Return the places, the first to be free first; built when they are first asked for."""
+        if self._openings is None:
+            self._openings = [
+                (run.remaining_s(self._now), server, run)
+                for server in self._slowness_by_server
+                for run in server.run_by_task.values()
+            ]
+            self._openings.sort(key=lambda opening: opening[0])
+        return self._openings
+
+
+def _fits(server: ServerState, run: Run, work: Work) -> bool:
+    """Tell whether a task of a work will have room on a server when a run has ended."""
+    return (
+        server.listing.service == work.service
+        and server.could_run(work.shape)
+        and server.has_room_after(run, work.shape)
+    )
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 )
 from redwingport_dispatch.ownership.leases import longest_span_s
 from redwingport_dispatch.scheduling.effects import Effects
+from redwingport_dispatch.scheduling.openings import Openings
 from redwingport_dispatch.scheduling.placement import (
     Placement,
     choose_server,
@@ -272,11 +273,12 @@
             return
         usable = self._with_slowness(self.usable_servers(now))
         most_free = max((server.free_cpu_millis for server in usable), default=0)
+        openings = Openings(usable, now)
         for work in self.queue:
             # Most works find no room while there is a queue, so that is decided cheaply.
             if work.shape.cpu_millis > most_free:
                 continue
-            if self._place_work(work, usable, now):
+            if self._place_work(work, usable, openings, now):
                 self.queue.remove(work)
             most_free = max(server.free_cpu_millis for server in usable)
             if most_free <= 0:
@@ -286,18 +288,34 @@
         """Return servers with what a new task will find there, worked out once for many works."""
         return {server: likely_slowness(server, self.speeds) for server in servers}
 
-    def _place_work(self, work: Work, usable: dict[ServerState, float], now: float) -> bool:
-        """Start as many tasks of a work as fit; tell whether all of them did."""
+    def _place_work(
+        self, work: Work, usable: dict[ServerState, float], openings: Openings, now: float
+    ) -> bool:
+        """Start as many tasks of a work as fit; tell whether all of them did.
+
+        A task that would be late on the servers that have room waits for a faster one.
+        """
         expected_s_by_server = self._places(work, usable, now)
+        all_started = True
         for task in work.queued_tasks():
             placement = choose_server(expected_s_by_server, now, work.target_at)
             if placement is None:
                 return False
+            if not placement.in_time and openings.take_better(
+                work,
+                placement.expected_s,
+                lambda server, slowness: self._expected_run_s(server, work, slowness),
+            ):
+                all_started = False
+                continue
             self._start(work, task, placement, now)
             server = placement.server
             if not server.has_room(work.shape) or not self._may_get(server, work, now):
                 del expected_s_by_server[server]
-        return True
+        return all_started
+
+    def _expected_run_s(self, server: ServerState, work: Work, slowness: float) -> float:
+        return expected_run_s(server, work.shape, slowness, self._bounds.far_factor)
 
     def _places(
         self, work: Work, slowness_by_server: dict[ServerState, float], now: float
@@ -308,7 +326,7 @@
         no room at present, can still make it.
         """
         able = {
-            server: expected_run_s(server, work.shape, slowness, self._bounds.far_factor)
+            server: self._expected_run_s(server, work, slowness)
             for server, slowness in slowness_by_server.items()
             if server.listing.service == work.service and server.could_run(work.shape)
         }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -66,6 +66,18 @@
             and shape.gpus + self._used_gpus <= listing.gpus
         )
 
+    def has_room_after(self, run: Run, shape: TaskShape) -> bool:
+        """Tell whether a task will fit when a run here has ended."""
+        listing, ended = self.listing, run.shape
+        used_cpu_millis = self._used_cpu_millis - ended.cpu_millis
+        used_memory_mb = self._used_memory_mb - ended.memory_mb
+        used_gpus = self._used_gpus - ended.gpus
+        return (
+            shape.cpu_millis + used_cpu_millis <= listing.cpu_millis
+            and shape.memory_mb + used_memory_mb <= listing.memory_mb
+            and shape.gpus + used_gpus <= listing.gpus
+        )
+
     def has_unclaimed_runs(self) -> bool:
         """Tell whether runs are at work here that no process has claimed yet.
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -151,3 +151,7 @@
     stop_due_at: float = 0.0
     gone_at: float = 0.0
     orphan_until: float = 0.0
+
+    def remaining_s(self, now: float) -> float:
+        """Return the time that the run is expected to take yet, in seconds; 0 when overdue."""
+        return max(0.0, self.ordered_at + self.expected_s - now)
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -55,6 +55,52 @@
     assert [run.server_id for run in cell.effects.started] == ["slow", "fast"]
 
 
+def two_kinds(fast: int, slow: int) -> Cell:
+    """Return servers of two kinds whose speeds are known: 0.7 and 1.7 times the declared time."""
+    cell = Cell(servers=0)
+    for number in range(fast):
+        cell.add_server(f"fast{number}", kind="a")
+    for number in range(slow):
+        cell.add_server(f"slow{number}", kind="b")
+    for _ in range(20):
+        cell.scheduler.speeds.learn("fast0", "a", 0.2, 0.14)
+        cell.scheduler.speeds.learn("slow0", "b", 0.2, 0.34)
+    cell.scheduler.speeds.refresh()
+    return cell
+
+
+def test_wide_long_job_waits_for_fast_servers_that_short_tasks_are_about_to_leave() -> None:
+    """A truck load plan comes while stop checks fill the fast servers for some milliseconds."""
+    cell = two_kinds(fast=2, slow=2)
+    cell.submit("short", tasks=4, estimate_s=0.06, target_s=0.16)
+    assert {run.server_id[:4] for run in cell.effects.started} == {"fast"}
+    cell.submit("plan", tasks=4, estimate_s=0.9, target_s=1.5, deadline_s=1.5)
+    assert len(cell.effects.started) == 4, "on a slow server it would take 1.5 s"
+    cell.accept_all()
+    cell.now += 0.04
+    for run in list(cell.effects.started):
+        cell.end(run)
+    placed = [run.server_id[:4] for run in cell.effects.started[4:]]
+    assert placed == ["fast"] * 4
+
+
+def test_burst_fills_the_slow_servers_when_the_fast_ones_stay_taken() -> None:
+    """More short jobs at once than the fast servers can end before the slow ones would."""
+    cell = two_kinds(fast=1, slow=1)
+    for number in range(8):
+        cell.submit(f"job{number}", estimate_s=0.2, target_s=0.38, deadline_s=10)
+    assert {run.server_id for run in cell.effects.started} == {"fast0", "slow0"}
+
+
+def test_job_does_not_wait_for_a_fast_server_that_is_taken_for_long() -> None:
+    """Long runs on the fast server, and a short job that is late on the slow one."""
+    cell = two_kinds(fast=1, slow=1)
+    cell.submit("long", tasks=2, estimate_s=0.9, target_s=1.2, deadline_s=10)
+    assert [run.server_id for run in cell.effects.started] == ["fast0"] * 2
+    cell.submit("short", estimate_s=0.2, target_s=0.3, deadline_s=10)
+    assert cell.effects.started[-1].server_id == "slow0"
+
+
 def test_job_that_cannot_be_done_in_time_is_refused_when_it_comes() -> None:
     """A burst beyond capacity: the last comers learn at once that there is no room."""
     cell = Cell(servers=1, cpu_millis=14000)
