Split what an owner remembers and where tasks may go from the scheduler

The memory of ended and refused works, started jobs and unclaimed ends is now history.py (entries hold the time at which they are forgotten, not that of the event), the choice of possible places is places.py. An event that nothing waited for is gone from process.py.

--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -119,7 +119,6 @@
         self._silence_changed = anyio.Event()
         self._sequence = itertools.count(1)
         self._owner_by_shard: dict[int, Owner] = {}
-        self._drained = anyio.Event()
         self._drain_started = anyio.Event()
         self.holder = Holder(
             self.incarnation,
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1,7 +1,6 @@
 """The owner's decisions: which task starts where, when, and what becomes of its runs."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import (
@@ -14,19 +13,24 @@
 )
 from redwingport_dispatch.ownership.leases import longest_span_s
 from redwingport_dispatch.scheduling.effects import Effects
+from redwingport_dispatch.scheduling.history import History
 from redwingport_dispatch.scheduling.openings import Openings
-from redwingport_dispatch.scheduling.placement import (
-    Placement,
-    choose_server,
-    expected_run_s,
-    likely_slowness,
-)
+from redwingport_dispatch.scheduling.placement import Placement, choose_server
+from redwingport_dispatch.scheduling.places import PlaceFinder
 from redwingport_dispatch.scheduling.queue import WorkQueue
-from redwingport_dispatch.scheduling.review import HOPELESS_SHARE, QueueReview
+from redwingport_dispatch.scheduling.review import QueueReview
 from redwingport_dispatch.scheduling.servers import ServerState
 from redwingport_dispatch.scheduling.speeds import Speeds
 from redwingport_dispatch.scheduling.stragglers import ends_sooner_elsewhere, is_late, stands_still
-from redwingport_dispatch.scheduling.work import Run, RunState, Task, TaskState, Work, WorkKey
+from redwingport_dispatch.scheduling.work import (
+    Run,
+    RunState,
+    Task,
+    TaskState,
+    Work,
+    WorkKey,
+    job_of,
+)
 from redwingport_dispatch.settings import BoundSettings
 from redwingport_policy.base import Candidate
 from redwingport_policy.ejection import Ejector
@@ -42,30 +46,11 @@
 HANDOVER_S = 0.2
 # Added to a run number that a server rejected as old: how far it is behind is not known.
 OLD_RUN_JUMP = 100
-# Works that have ended are remembered for a holder that asks again after a broken link.
-ENDED_WORK_S = 3.0
-# Ends that no work has claimed yet, kept for holders that move to this owner.
-UNCLAIMED_END_S = 2.0
-# A client sends a job again 1.3 s after its connection broke, for 1.5 s in all; a job of which
-# something has started is not refused then, by whichever process it comes.
-STARTED_JOB_S = 5.0
 # Failed runs in a row after which a server gets no more work for a while. One run in 500 fails on
 # a sound server.
 FAILURES_IN_A_ROW = 3
 
 
-@dataclass(frozen=True, slots=True)
-class _Refusal:
-    """Hold what a holder was told; it must stay true.
-
-    :param forgotten_at: monotonic time from which the work cannot be handed over again.
-    """
-
-    reason: str
-    retry_after_s: int
-    forgotten_at: float
-
-
 class Scheduler:
     """Place tasks on the servers that this process owns.
 
@@ -83,11 +68,9 @@
         self._review = QueueReview(self)
         self._bounds = bounds
         self._ejector = Ejector(failures_in_a_row=FAILURES_IN_A_ROW)
+        self._places = PlaceFinder(self.speeds, self._ejector, bounds.far_factor)
         self._blocked: set[Work] = set()
-        self._ended_at_by_key: dict[WorkKey, tuple[float, Work]] = {}
-        self._unclaimed_end_by_task: dict[str, tuple[float, RunEnd]] = {}
-        self._started_at_by_job: dict[str, float] = {}
-        self._refusal_by_key: dict[WorkKey, _Refusal] = {}
+        self._history = History()
         self._challenged_until = 0.0
 
     # Servers
@@ -149,14 +132,14 @@
         if work.key in self.work_by_key:
             self._submit_again(self.work_by_key[work.key], placed_by_index)
             return
-        refusal = self._refusal_by_key.get(work.key)
+        refusal = self._history.find_refusal(work.key)
         if refusal is not None:
             # The same work, handed over again on a new link while the refusal was on its way.
             self._effects.refuse(work, refusal.reason, refusal.retry_after_s, {})
             return
-        ended = self._ended_at_by_key.get(work.key)
+        ended = self._history.find_ended(work.key)
         if ended is not None:
-            self._report_again(ended[1])
+            self._report_again(ended)
             return
         work.late = now + work.shape.estimate_s > work.target_at
         self._displace_older(work, now)
@@ -165,7 +148,7 @@
         # While the last owner is still heard, what it has reported may be on its way.
         heard = resumed and unheard_s < HANDOVER_S
         work.handover_until = now + HANDOVER_S if heard else now
-        work.ever_started = resumed or work.job_id in self._started_at_by_job
+        work.ever_started = resumed or self._history.has_started(work.job_id)
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), resumed)
         if any(t.state is TaskState.BLOCKED for t in work.task_by_index.values()):
@@ -201,12 +184,12 @@
 
     def _admit_task(self, work: Work, task: Task, placed_on: str, resumed: bool) -> None:
         name = work.task_name(task.index)
-        unclaimed = self._unclaimed_end_by_task.pop(name, None)
+        unclaimed = self._history.claim_end(name)
         if unclaimed is not None:
-            task.next_run = max(task.next_run, unclaimed[1].number + 1)
-            if unclaimed[1].kind is EndKind.DONE:
+            task.next_run = max(task.next_run, unclaimed.number + 1)
+            if unclaimed.kind is EndKind.DONE:
                 task.state = TaskState.DONE
-                self._effects.report_ended(work, task, unclaimed[1].number, placed_on)
+                self._effects.report_ended(work, task, unclaimed.number, placed_on)
                 return
         run = self.run_by_task.get(name)
         if run is not None:
@@ -247,7 +230,7 @@
 
     def _finish(self, work: Work, now: float) -> None:
         self._forget_work(work)
-        self._ended_at_by_key[work.key] = (now, work)
+        self._history.note_ended(work, now)
 
     def _drop_work(self, work: Work, now: float) -> None:
         self._forget_work(work)
@@ -271,7 +254,7 @@
         """Start queued tasks while servers have room for them."""
         if not len(self.queue) or now < self._challenged_until:
             return
-        usable = self._with_slowness(self.usable_servers(now))
+        usable = self._places.with_slowness(self.usable_servers(now))
         most_free = max((server.free_cpu_millis for server in usable), default=0)
         openings = Openings(usable, now)
         for work in self.queue:
@@ -284,10 +267,6 @@
             if most_free <= 0:
                 return
 
-    def _with_slowness(self, servers: list[ServerState]) -> dict[ServerState, float]:
-        """Return servers with what a new task will find there, worked out once for many works."""
-        return {server: likely_slowness(server, self.speeds) for server in servers}
-
     def _place_work(
         self, work: Work, usable: dict[ServerState, float], openings: Openings, now: float
     ) -> bool:
@@ -295,7 +274,7 @@
 
         A task that would be late on the servers that have room waits for a faster one.
         """
-        expected_s_by_server = self._places(work, usable, now)
+        expected_s_by_server = self._places.find(work, usable, now)
         all_started = True
         for task in work.queued_tasks():
             placement = choose_server(expected_s_by_server, now, work.target_at)
@@ -304,52 +283,16 @@
             if not placement.in_time and openings.take_better(
                 work,
                 placement.expected_s,
-                lambda server, slowness: self._expected_run_s(server, work, slowness),
+                lambda server, slowness: self._places.expected_run_s(server, work, slowness),
             ):
                 all_started = False
                 continue
             self._start(work, task, placement, now)
             server = placement.server
-            if not server.has_room(work.shape) or not self._may_get(server, work, now):
+            if not server.has_room(work.shape) or not self._places.may_get(server, work, now):
                 del expected_s_by_server[server]
         return all_started
 
-    def _expected_run_s(self, server: ServerState, work: Work, slowness: float) -> float:
-        return expected_run_s(server, work.shape, slowness, self._bounds.far_factor)
-
-    def _places(
-        self, work: Work, slowness_by_server: dict[ServerState, float], now: float
-    ) -> dict[ServerState, float]:
-        """Return the servers with room for a task of a work, and its run time at each.
-
-        One that would be done only after the deadline is left out while a faster one, which has
-        no room at present, can still make it.
-        """
-        able = {
-            server: self._expected_run_s(server, work, slowness)
-            for server, slowness in slowness_by_server.items()
-            if server.listing.service == work.service and server.could_run(work.shape)
-        }
-        left_s = work.deadline_at - now
-        any_in_time = any(run_s <= left_s for run_s in able.values())
-        # Where none is expected to make it, only one that may, as declared times are off.
-        share = 1.0 if any_in_time else HOPELESS_SHARE
-        return {
-            server: run_s
-            for server, run_s in able.items()
-            if run_s * share <= left_s
-            and server.has_room(work.shape)
-            and self._may_get(server, work, now)
-        }
-
-    def _may_get(self, server: ServerState, work: Work, now: float) -> bool:
-        if not self._ejector.admits(server.candidate, now):
-            return False
-        limit = work.shape.max_per_server
-        if not limit:
-            return True
-        return sum(run.work is work for run in server.run_by_task.values()) < limit
-
     def _start(self, work: Work, task: Task, placement: Placement, now: float) -> None:
         server = placement.server
         run = Run(
@@ -368,7 +311,7 @@
         if not work.ever_started:
             work.ever_started = True
             self.queue.move(work)
-        self._started_at_by_job[work.job_id] = now
+        self._history.note_started(work.job_id, now)
         self.run_by_task[run.task_name] = run
         server.add_run(run)
         # The order carries a lease; the last one of an idle server may have ended long ago.
@@ -542,7 +485,9 @@
                 self._move_run(run, now)
             elif run.work is not None and is_late(run, run.work, now):
                 others = [other for other in self.usable_servers(now) if other is not server]
-                expected_s_by_server = self._places(run.work, self._with_slowness(others), now)
+                expected_s_by_server = self._places.find(
+                    run.work, self._places.with_slowness(others), now
+                )
                 if ends_sooner_elsewhere(run, run.work, expected_s_by_server.values(), now):
                     self._log_moved("run-too-slow", run)
                     self._move_run(run, now)
@@ -581,7 +526,7 @@
             accepted_at=now,
             orphan_until=now + ORPHAN_GRACE_S,
         )
-        self._started_at_by_job[_job_of(task_name)] = now
+        self._history.note_started(job_of(task_name), now)
         self.run_by_task[task_name] = run
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before.
@@ -589,14 +534,14 @@
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
         run = self.run_by_task.get(end.task)
-        self._started_at_by_job[_job_of(end.task)] = now
+        self._history.note_started(job_of(end.task), now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
-            self._unclaimed_end_by_task[end.task] = (now, end)
+            self._history.note_unclaimed_end(end, now)
             return
         self._forget_run(run)
         work = run.work
         if work is None:
-            self._unclaimed_end_by_task[end.task] = (now, end)
+            self._history.note_unclaimed_end(end, now)
             return
         task = work.task_by_index[run.index]
         if end.kind is EndKind.DONE:
@@ -676,7 +621,7 @@
         self._release_blocked(now)
         self._review.review_blocked(list(self._blocked), now)
         self._review.review(self.queue, now)
-        self._prune(now)
+        self._history.prune(now)
         self.dispatch(now)
 
     def _check_run(self, run: Run, now: float) -> None:
@@ -718,38 +663,10 @@
     ) -> None:
         """Forget a work of which nothing has started; see :class:`Reviewed`."""
         self._forget_work(work)
-        ends_at = work.deadline_at + ENDED_WORK_S
-        self._refusal_by_key[work.key] = _Refusal(reason, retry_after_s, ends_at)
+        self._history.note_refused(work, reason, retry_after_s)
         self._effects.refuse(work, reason, retry_after_s, inputs)
 
     def abandon(self, work: Work, now: float) -> None:
         """Stop what runs of a work, and tell its holder that it cannot be done."""
         self._effects.abandon(work)
         self._drop_work(work, now)
-
-    def _prune(self, now: float) -> None:
-        self._ended_at_by_key = {
-            key: item
-            for key, item in self._ended_at_by_key.items()
-            if now - item[0] < ENDED_WORK_S
-        }
-        self._refusal_by_key = {
-            key: refusal
-            for key, refusal in self._refusal_by_key.items()
-            if now < refusal.forgotten_at
-        }
-        self._started_at_by_job = {
-            job_id: started_at
-            for job_id, started_at in self._started_at_by_job.items()
-            if now - started_at < STARTED_JOB_S
-        }
-        self._unclaimed_end_by_task = {
-            task: item
-            for task, item in self._unclaimed_end_by_task.items()
-            if now - item[0] < UNCLAIMED_END_S
-        }
-
-
-def _job_of(task_name: str) -> str:
-    """Return the id of the job that a task belongs to."""
-    return task_name.partition(".")[0]
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -10,6 +10,11 @@
 WorkKey = tuple[str, int]
 
 
+def job_of(task_name: str) -> str:
+    """Return the id of the job that a task belongs to."""
+    return task_name.partition(".")[0]
+
+
 class TaskState(enum.Enum):
     """Tell where a task stands at the owner."""
 
