Use a server again as soon as it answers any order

Cause: a start without an answer kept its server out of use until the next answer to a renewal, up to 0.4 s, also when the server had answered the stop of that start a few milliseconds later.

Change: an accepted start or stop makes its server usable, with a log line (server-answered), and queued tasks are placed at once.

Ruled out: refusals on arrival as the cause (they follow from the servers that are out of use).

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -137,6 +137,9 @@
     LogEvent("server-dropped", _O, "a server is no longer used", ("server", "reason")),
     LogEvent("server-lost", _O, "a server does not answer", ("server", "step", "reason")),
     LogEvent("server-regained", _O, "a server answers (again)", ("server", "runs", "token")),
+    LogEvent(
+        "server-answered", _O, "a server answers an order after one that it did not", ("server",)
+    ),
     LogEvent(
         "server-restarted", _O, "a server has a new lifetime", ("server", "born_ms", "was_born_ms")
     ),
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -330,6 +330,7 @@
             run.state = RunState.RUNNING
         run.accepted_at = now
         run.progress.observe(0.0, clock_ms)
+        self._note_answer(run.server_id, now)
 
     def handle_not_started(self, run: Run, failure: OrderFailure, now: float) -> None:
         """Take in that a start was refused, or not answered."""
@@ -368,6 +369,7 @@
 
     def handle_stopped(self, run: Run, now: float) -> None:
         """Take in that a server has accepted a stop: the run is gone soon, or never comes."""
+        self._note_answer(run.server_id, now)
         if self._is_known(run):
             run.stop_due_at = 0.0
             run.gone_at = now + longest_span_s(self._bounds.stop_s)
@@ -381,6 +383,14 @@
             # The server knows of a later run or end, so this one cannot come any more.
             self.handle_stopped(run, now)
 
+    def _note_answer(self, server_id: str, now: float) -> None:
+        """Use a server again that answers: only the last order, or its answer, was lost."""
+        server = self.server_by_id.get(server_id)
+        if server is not None and server.suspect:
+            server.suspect = False
+            self._effects.log_decision("server-answered", server=server_id)
+            self.dispatch(now)
+
     def handle_unreachable(self, server_id: str) -> None:
         """Take in that a server did not answer: it gets nothing until it does."""
         server = self.server_by_id.get(server_id)
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -346,3 +346,15 @@
     cell.advance(0.5)
     assert [run.task_name for run in cell.effects.started] == ["blocker.0.0.0"]
     assert [job_id for job_id, _, _ in cell.effects.refused] == ["job", "job"]
+
+
+def test_server_that_answers_the_stop_of_a_lost_start_gets_work_at_once() -> None:
+    """Workers leave a share of the orders unanswered and carry them out late."""
+    cell = Cell(servers=1)
+    cell.submit("lost")
+    cell.lose_start(cell.effects.started[0])
+    cell.submit("next")
+    assert len(cell.effects.started) == 1, "it may not answer anything any more"
+    cell.scheduler.handle_stopped(cell.effects.started[0], cell.now)
+    assert [run.task_name[:5] for run in cell.effects.started] == ["lost.", "next."]
+    assert "server-answered" in cell.effects.events
