--- a/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
@@ -93,13 +93,18 @@
     return min(work.deadline_at, work.received_at + USEFUL_TARGETS * target_s)
 
 
-def latest_end_on_arrival(work: Work) -> float:
+def latest_end_on_arrival(work: Work, others_wait: bool) -> float:
     """Return the monotonic time after which a work that has to wait is refused on arrival.
 
-    One that is late already, as there was no owner for a while, takes only what room is left by
-    those that can be in time, so it may wait as long as its answer is of use.
+    A late answer helps its client more than none, but while others wait it makes them late too.
+    A work that is late already, as there was no owner for a while, takes only what room is left by
+    those that can be in time.
+
+    :param others_wait: whether other works wait for servers.
     """
-    return latest_useful_end(work) if work.late else work.target_at
+    if others_wait and not work.late:
+        return work.target_at
+    return latest_useful_end(work)
 
 
 def retry_after_s(wait_s: float) -> int:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
@@ -108,15 +108,12 @@
             retry_after_s = admission.MOST_RETRY_AFTER_S
             self._scheduler.refuse(work, admission.FITS_ON_NO_SERVER, retry_after_s, inputs)
             return True
+        waiting = [other for other in queue if other.service == work.service]
         ahead = _Ahead(outlook)
-        for other in queue:
-            if other.service == work.service:
-                ahead.add(other)
-            if other is work:
-                break
-        return self._refuse_late(
-            work, outlook, ahead.wait_s(work), admission.latest_end_on_arrival(work), now
-        )
+        for other in waiting[: waiting.index(work) + 1]:
+            ahead.add(other)
+        limit_at = admission.latest_end_on_arrival(work, others_wait=len(waiting) > 1)
+        return self._refuse_late(work, outlook, ahead.wait_s(work), limit_at, now)
 
     def _outlook(self, service: str, now: float) -> Outlook | None:
         servers = self._scheduler.usable_servers(now)
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -358,3 +358,13 @@
     cell.scheduler.handle_stopped(cell.effects.started[0], cell.now)
     assert [run.task_name[:5] for run in cell.effects.started] == ["lost.", "next."]
     assert "server-answered" in cell.effects.events
+
+
+def test_wide_job_that_would_be_a_little_late_is_served_while_nobody_else_waits() -> None:
+    """A calm day: a stop check of many tasks comes while some servers are taken."""
+    cell = Cell(servers=2)
+    cell.submit("running", tasks=3, estimate_s=0.2, target_s=0.4)
+    cell.submit("wide", tasks=4, estimate_s=0.06, target_s=0.16)
+    assert cell.effects.refused == []
+    cell.submit("another", tasks=4, estimate_s=0.06, target_s=0.16)
+    assert [job_id for job_id, _, _ in cell.effects.refused] == ["another"], "both would be late"
