Bound the waiting for faster servers, and set no timer in the present millisecond

Cause 2, found as test_event_loop failed once (110 timers for 20 timeouts): a deadline that is a rounding error after a tick of the loop's clock was set for the same millisecond again and again.

Change: at most half as many tasks as servers wait in one pass; the first place that is good enough is taken; servers without room are passed over before anything is worked out for them. A timer is set at least one millisecond ahead.

--- a/packages/dispatch/src/redwingport_dispatch/event_loop.py
+++ b/packages/dispatch/src/redwingport_dispatch/event_loop.py
@@ -10,7 +10,8 @@
 
 Arguments = TypeVarTuple("Arguments")
 
-# Keeps a time that is a whole number of milliseconds but for its last binary digits.
+# Keeps times that are whole milliseconds but for their last binary digits from being a whole one
+# late.
 ROUNDING_MS = 1e-6
 
 
@@ -30,5 +31,10 @@
         context: Context | None = None,
     ) -> asyncio.TimerHandle:
         """Call a function at or just after a time of the loop's clock, in seconds."""
-        delay_ms = math.ceil((when - self.time()) * 1000 - ROUNDING_MS)
-        return self.call_later(max(delay_ms, 0) / 1000, callback, *args, context=context)
+        now = self.time()
+        if when <= now:
+            return self.call_later(0, callback, *args, context=context)
+        # Never in this millisecond: a timer that is a rounding error early would be set again and
+        # again until the clock moves on.
+        delay_ms = max(1, math.ceil((when - now) * 1000 - ROUNDING_MS))
+        return self.call_later(delay_ms / 1000, callback, *args, context=context)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/openings.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/openings.py
@@ -11,12 +11,16 @@
 # A task waits for a place only where it would end within this share of the time that it takes on
 # the server that has room now: the ends of runs are estimates.
 LEAST_GAIN_SHARE = 0.8
+# Tasks that may wait in one pass, for each server that can be used. Beyond that there is a burst:
+# all servers are needed, and weighing each queued task would take the owner's processor time.
+WAITING_PER_SERVER = 0.5
 
 
 class Openings:
     """Hold the places that runs are expected to free, for one pass of the queue.
 
-    Each task that waits takes one, so that a long queue does not wait for the same few places.
+    Each task that waits takes one, so that a long queue does not wait for the same few places,
+    and only some may wait.
 
     :param slowness_by_server: the servers that can be used, and their likely slowness.
     :param now: monotonic time, in seconds.
@@ -26,6 +30,7 @@
         self._slowness_by_server = slowness_by_server
         self._now = now
         self._openings: list[tuple[float, ServerState, Run]] | None = None
+        self._left = int(WAITING_PER_SERVER * len(slowness_by_server))
 
     def take_better(
         self,
@@ -33,27 +38,25 @@
         expected_s: float,
         run_s_at: Callable[[ServerState, float], float],
     ) -> bool:
-        """Take the place at which a task ends first, if that is well before its end elsewhere.
+        """Take the first place to be free at which a task ends well before its end elsewhere.
 
         :param expected_s: run time on the best server that has room now, in seconds.
         :param run_s_at: returns the run time on a server of a given slowness, in seconds.
         :returns: whether there was such a place, so that the task should wait.
         """
-        best: tuple[float, int] | None = None
-        limit_s = LEAST_GAIN_SHARE * expected_s
+        if self._left <= 0:
+            return False
+        limit_s = LEAST_GAIN_SHARE * expected_s - TURNAROUND_S
         openings = self._sorted()
         for position, (free_s, server, run) in enumerate(openings):
             if free_s >= limit_s:
                 break
-            if not _fits(server, run, work):
-                continue
-            end_s = free_s + TURNAROUND_S + run_s_at(server, self._slowness_by_server[server])
-            if end_s < limit_s and (best is None or end_s < best[0]):
-                best = end_s, position
-        if best is None:
-            return False
-        del openings[best[1]]
-        return True
+            end_s = free_s + run_s_at(server, self._slowness_by_server[server])
+            if end_s < limit_s and _fits(server, run, work):
+                del openings[position]
+                self._left -= 1
+                return True
+        return False
 
     def _sorted(self) -> list[tuple[float, ServerState, Run]]:
         """Return the places, the first to be free first; built when they are first asked for."""
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/places.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/places.py
@@ -39,21 +39,26 @@
         One that would be done only after the deadline is left out while a faster one, which has
         no room at present, can still make it.
         """
-        able = {
+        run_s_by_server = {
             server: self.expected_run_s(server, work, slowness)
             for server, slowness in slowness_by_server.items()
-            if server.listing.service == work.service and server.could_run(work.shape)
+            # Few servers have room while there is a queue, so that is looked at first.
+            if server.has_room(work.shape)
+            and _is_able(server, work)
+            and self.may_get(server, work, now)
         }
         left_s = work.deadline_at - now
-        any_in_time = any(run_s <= left_s for run_s in able.values())
+        if all(run_s <= left_s for run_s in run_s_by_server.values()):
+            return run_s_by_server
+        any_in_time = any(
+            self.expected_run_s(server, work, slowness) <= left_s
+            for server, slowness in slowness_by_server.items()
+            if _is_able(server, work)
+        )
         # Where none is expected to make it, only one that may, as declared times are off.
         share = 1.0 if any_in_time else HOPELESS_SHARE
         return {
-            server: run_s
-            for server, run_s in able.items()
-            if run_s * share <= left_s
-            and server.has_room(work.shape)
-            and self.may_get(server, work, now)
+            server: run_s for server, run_s in run_s_by_server.items() if run_s * share <= left_s
         }
 
     def may_get(self, server: ServerState, work: Work, now: float) -> bool:
@@ -64,3 +69,8 @@
         if not limit:
             return True
         return sum(run.work is work for run in server.run_by_task.values()) < limit
+
+
+def _is_able(server: ServerState, work: Work) -> bool:
+    """Tell whether a server could run a task of a work if it were empty."""
+    return server.listing.service == work.service and server.could_run(work.shape)
