Take a job that comes again while a long run of it stops for one that has started

Change: a work of which any task is not simply queued counts as started, so it is never refused on arrival. Ruled out: that the queue lacks works otherwise (tasks are queued, or a run or an end of them is known). The test fails with the ValueError on the code before.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -151,6 +151,9 @@
         work.ever_started = resumed or self._history.has_started(work.job_id)
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), resumed)
+        if any(task.state is not TaskState.QUEUED for task in work.tasks()):
+            # A run of an earlier try is there, however long ago it started.
+            work.ever_started = True
         if any(t.state is TaskState.BLOCKED for t in work.task_by_index.values()):
             self._blocked.add(work)
         if work.is_done():
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -238,3 +238,21 @@
     cell.advance(0.25)
     cell.end(cell.effects.stopped[0], EndKind.STOPPED)
     assert [run.task_name for run in cell.effects.started] == ["job.0.0.0"]
+
+
+def test_a_job_that_comes_again_while_a_long_run_of_it_is_being_stopped_waits_for_that() -> None:
+    """Its client's connection broke after six seconds; the run's start is forgotten by then."""
+    cell = Cell(servers=1, cpu_millis=7000)
+    cell.submit("job", estimate_s=8, deadline_s=60, target_s=20, holder="first")
+    cell.accept_all()
+    for _ in range(60):
+        cell.now += 0.1
+        cell.scheduler.server_by_id["s0"].lease_ends_at = cell.now + 1.1
+        cell.report("s0", percent=(cell.now - 100) * 10)
+        cell.scheduler.tick(cell.now)
+    cell.submit("job", estimate_s=8, deadline_s=60, target_s=20, holder="second")
+    assert cell.effects.refused == []
+    assert cell.effects.stopped == [cell.effects.started[0]]
+    cell.end(cell.effects.started[0], EndKind.STOPPED)
+    cell.advance(0.05)
+    assert [run.number for run in cell.effects.started] == [1, 2]
