Report ready as the owner of a shard that has no servers

Cause: the owner of a shard is ready when one of its servers has answered. A shard that no server falls into, by the hash or as they have left, has none, so its owner was never ready and got no clients. test_a_burst_over_two_shards failed by it each time: CRC-32 puts its four servers into one of two shards.

Change: an owner whose shards have no servers is ready once the list was read. Ruled out: a slow start (the log begins 15 s before the check ends). Not mended: a job that the other shard refuses for load and the empty one for want of servers is answered 503 with the longer Retry-After of the latter.

--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -176,11 +176,15 @@
         )
 
     def _has_servers(self) -> bool:
-        return any(
-            server.listed
+        """Tell whether a server of the owned shards has answered, or these have none."""
+        servers = [
+            server
             for owner in self._owner_by_shard.values()
             for server in owner.scheduler.server_by_id.values()
-        )
+        ]
+        if not servers:
+            return self._servers.read_at > 0
+        return any(server.listed for server in servers)
 
     # Life
 
