Let an owner notice a lost holder before another owner is elected

Cause: in systems of more than 12 peers a process that owns nothing sent its heartbeats to an owner every 0.45 s, so the owner counted it as lost only 1.5 s after the last one. The other direction has 0.15 s, so the holder lost the owner after 0.5 s, another owner was elected on its side 0.2 s later, and started the tasks 1.07 s after the last heartbeat. Until 1.5 s the former owner still held the work items: it started what its unreachable servers had lost again at 1.07 s, too. Change: heartbeats to an owner have the interval of those from it, at any size. The earliest election on the holder's side is (0.35 + 0.2) s after a cut, the owner drops the holder's work items by 0.5 s. Result: test_owner_loses_partitioned_holder_before_another_owner_is_elected failed with 13, 42 and 100 peers and passes; the expected interval to an owner in test_processes_without_shards_in_large_system_exchange_fewer_heartbeats was the cause itself and is now the shorter one. The cost, 4.5 more messages a second for each process and owner, is to be measured.

--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -15,11 +15,10 @@
 from redwingport_dispatch.ownership.terms import new_term
 from redwingport_messages.dispatch import Presence
 
-# Heartbeat interval of an owner, and of all processes of a small system.
+# Heartbeat interval to and from owners, and between all processes of a small system. An owner has
+# to notice that a holder is unreachable before another owner can be elected on the holder's side
+# of a network partition, so both directions have the same interval.
 HEARTBEAT_S = 0.15
-# Interval of heartbeats to an owner, which needs them only to cancel the work items of processes
-# that have become unreachable.
-TO_OWNER_HEARTBEAT_S = 0.45
 # A process that misses three heartbeats is considered unreachable.
 LIVENESS_TIMEOUT_HEARTBEATS = 10 / 3
 LIVENESS_TIMEOUT_S = LIVENESS_TIMEOUT_HEARTBEATS * HEARTBEAT_S
@@ -196,11 +195,8 @@
         """Return the heartbeat interval to a peer, in seconds."""
         excess = len(self.peer_by_incarnation) / MAX_FULL_RATE_PEERS
         view = self.peer_by_incarnation.get(incarnation)
-        if excess <= 1 or view is None or self.owned_term_by_shard:
-            return HEARTBEAT_S
-        if view.presence.owned_terms:
-            return TO_OWNER_HEARTBEAT_S
-        return HEARTBEAT_S * excess**2
+        involves_owner = view is None or self.owned_term_by_shard or view.presence.owned_terms
+        return HEARTBEAT_S if excess <= 1 or involves_owner else HEARTBEAT_S * excess**2
 
     def next_timeout_at(self, now: float) -> float:
         """Return the time at which the next liveness timeout of a peer expires.
--- a/packages/dispatch/tests/test_election.py
+++ b/packages/dispatch/tests/test_election.py
@@ -12,7 +12,6 @@
     REFUSED_GRACE_S,
     STARTUP_GRACE_S,
     TAKEOVER_STAGGER_S,
-    TO_OWNER_HEARTBEAT_S,
     Election,
 )
 from redwingport_dispatch.ownership.terms import MAX_TOKEN, new_term, raise_token
@@ -276,12 +275,36 @@
     for number in range(42):
         owned = [(0, 9)] if number == 0 else []
         election.observe(presence(f"p{number}", owned_terms=owned), 0.0)
-    assert election.heartbeat_s("p0") == TO_OWNER_HEARTBEAT_S
+    assert election.heartbeat_s("p0") == HEARTBEAT_S
     assert election.heartbeat_s("p41") == pytest.approx(HEARTBEAT_S * (42 / 12) ** 2)
     election.owned_term_by_shard[1] = 10
     assert election.heartbeat_s("p41") == HEARTBEAT_S
 
 
+# Guards against two owners that start tasks of one job: the owner on the far side of a partition
+# kept the work items of a holder after another owner was elected on the near side.
+@pytest.mark.parametrize("peers", [2, 13, 42, 100])
+def test_owner_loses_partitioned_holder_before_another_owner_is_elected(peers: int) -> None:
+    partitioned_at = 10.0
+    owner, holder = Election("owner", 1000, 1, 0.0), Election("holder", 1000, 2, 0.0)
+    for election in (owner, holder):
+        election.raise_shard_count(1)
+        for number in range(peers - 1):
+            election.observe(presence(f"p{number}", heartbeat_ms=60_000, weight=400), 0.0)
+    # The last heartbeats in both directions: that of the holder arrives at the last moment, that
+    # of the owner one interval earlier.
+    heard_at = partitioned_at - HEARTBEAT_S
+    holder.observe(presence("owner", owned_term=7), heard_at)
+    assert holder.decide(heard_at, UNIX_MS)[0].owner == "owner"
+    heartbeat_ms = round(holder.heartbeat_s("owner") * 1000)
+    owner.observe(presence("holder", heartbeat_ms=heartbeat_ms), partitioned_at)
+
+    now = partitioned_at
+    while holder.decide(now, UNIX_MS)[0].owner != "holder":
+        now += 0.01
+    assert not owner.is_reachable("holder", now)
+
+
 def test_second_candidate_takes_over_when_the_first_does_not() -> None:
     """A power loss in a failure domain may end the owner together with the first candidate."""
     election, now = started_election("b")
