Shorten the heartbeat interval of a link as soon as the peer becomes an owner

Cause: the next heartbeat of a link stayed scheduled at the interval of the last one, 1.8 s between hubs of a system of 43 processes, although the presence message that answers the announcement of a new owner promises the next one after 0.15 s. The new owner therefore counted holders that were reachable as lost after 0.5 s, stopped their runs and dropped their work items. Evidence: reading of Mesh._send_queued; the test. Change: the interval is applied anew after each message.

--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -190,8 +190,12 @@
             if messages:
                 with anyio.fail_after(SEND_TIMEOUT_S):
                     await frames.send_all(messages)
-            if anyio.current_time() >= heartbeat_at:
-                heartbeat_at = anyio.current_time() + self._heartbeat_s(link.incarnation)
+            now = anyio.current_time()
+            is_due = now >= heartbeat_at
+            # The interval is shorter from the moment when the peer or this process owns a shard.
+            latest_at = now + self._heartbeat_s(link.incarnation)
+            heartbeat_at = latest_at if is_due else min(heartbeat_at, latest_at)
+            if is_due:
                 await self._send_presence(link, frames)
                 self._check_reachable(link)
 
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -36,9 +36,10 @@
         self.name = name
         self.address = free_address()
         self.received: list[Frame] = []
+        self.heartbeat_s = HEARTBEAT_S
         self.mesh = Mesh(
             self.address,
-            lambda peer: HEARTBEAT_S,
+            lambda peer: self.heartbeat_s,
             lambda peer: self._describe(),
             lambda peer: True,
             lambda sender, message: self.received.append(message),
@@ -49,6 +50,9 @@
     def task_event_count(self) -> int:
         return sum(isinstance(message, TaskNews) for message in self.received)
 
+    def presence_count(self) -> int:
+        return sum(isinstance(message, Presence) for message in self.received)
+
     def _describe(self) -> Presence:
         return Presence(
             self.name, 1, self.name, "d", self.address, 1000, 0, 1, [], 150, False, True, 1
@@ -83,3 +87,27 @@
                 await anyio.sleep(0.01)
         assert receiver.task_event_count() == MESSAGES + 1, anyio.current_time() - started_at
         task_group.cancel_scope.cancel()
+
+
+# Guards against a new owner that drops the work items of reachable holders: their next heartbeat
+# was still scheduled at the long interval that they keep to processes that own nothing.
+async def test_shorter_heartbeat_interval_applies_after_the_next_message() -> None:
+    sender, receiver = Process("sender"), Process("receiver")
+    sender.heartbeat_s = 60.0
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        receiver.mesh.add_address(sender.address)
+        with anyio.fail_after(5):
+            while not sender.mesh.send("receiver", TaskNews([])):
+                await anyio.sleep(0.01)
+            while not receiver.task_event_count():
+                await anyio.sleep(0.01)
+        before = receiver.presence_count()
+        sender.heartbeat_s = HEARTBEAT_S
+        sender.mesh.announce()
+        with anyio.move_on_after(20 * HEARTBEAT_S):
+            while receiver.presence_count() < before + 3:
+                await anyio.sleep(0.01)
+        assert receiver.presence_count() >= before + 3
+        task_group.cancel_scope.cancel()
