Adopt a run that another owner has started for a task that waits here

What callers saw: possible second runs after a challenge between two owners; needless stops of runs after a change of owner. Cause: a run that a server reports and that this owner did not order became an unclaimed run even when its task was queued or blocked in a work item of a reachable holder. A queued task was then started a second time; a run whose work item had been resubmitted before the first report of its server was stopped after 0.2 s and started anew. Only the reverse order, report before work item, was handled. Change: the report adopts the run for the task that waits.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -209,15 +209,10 @@
                 return
         run = self.run_by_task.get(name)
         if run is not None:
-            task.next_run = max(task.next_run, run.number + 1)
             if run.work is None and run.state is RunState.RUNNING:
-                run.work, run.index, run.orphan_until = work, task.index, 0.0
-                self.server_by_id[run.server_id].set_run_shape(run, work.shape)
-                task.state = TaskState.ACTIVE
-                self._effects.log_decision(
-                    "run-adopted", job=work.job_id, task=name, server=run.server_id
-                )
+                self._adopt_run(run, work, task)
             else:
+                task.next_run = max(task.next_run, run.number + 1)
                 task.state = TaskState.BLOCKED
                 task.blocked_on = run.server_id
         elif resumed:
@@ -474,7 +469,7 @@
             self._reconcile_run(run, listed, report.clock_ms, sent_at, now)
         for listed in report.runs:
             if listed.task not in self.run_by_task:
-                self._add_orphan(server, listed.task, listed.number, now)
+                self._add_reported_run(server, listed.task, listed.number, now)
         server.observe_progress(now)
         self._relocate_late_runs(server, now)
         server.acquired = True
@@ -559,7 +554,10 @@
             self._blocked.add(work)
         self._stop_run(run, now)
 
-    def _add_orphan(self, server: ServerState, task_name: str, number: int, now: float) -> None:
+    def _add_reported_run(
+        self, server: ServerState, task_name: str, number: int, now: float
+    ) -> None:
+        """Add a run that another owner has ordered; it is adopted if its task waits here."""
         run = Run(
             task_name=task_name,
             number=number,
@@ -577,6 +575,23 @@
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before this report.
         server.lease_ends_at = max(server.lease_ends_at, now + self._longest_lease_s())
+        for work in self.work_by_key.values():
+            task = work.find_task(task_name)
+            if task is not None and task.state in (TaskState.QUEUED, TaskState.BLOCKED):
+                self._adopt_run(run, work, task)
+                if not work.queued_tasks():
+                    self.queue.remove(work)
+                return
+
+    def _adopt_run(self, run: Run, work: Work, task: Task) -> None:
+        task.next_run = max(task.next_run, run.number + 1)
+        task.state = TaskState.ACTIVE
+        work.ever_started = True
+        run.work, run.index, run.orphan_until = work, task.index, 0.0
+        self.server_by_id[run.server_id].set_run_shape(run, work.shape)
+        self._effects.log_decision(
+            "run-adopted", job=work.job_id, task=run.task_name, server=run.server_id
+        )
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
         run = self.run_by_task.get(end.task)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -113,6 +113,13 @@
         """
         return f"{self.job_id}.0.{self.step}.{index}"
 
+    def find_task(self, task_name: str) -> Task | None:
+        """Return the task of that name, or None if it belongs to another work item."""
+        prefix, _, index = task_name.rpartition(".")
+        if prefix != f"{self.job_id}.0.{self.step}" or not index.isdecimal():
+            return None
+        return self.task_by_index.get(int(index))
+
     def queued_tasks(self) -> list[Task]:
         """Return the tasks that wait for a server."""
         return [task for task in self.task_by_index.values() if task.state is TaskState.QUEUED]
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -98,6 +98,37 @@
     assert len(harness.effects.started) == 1
 
 
+# Guards against a second run of a task that another owner has started: the run was found on a
+# server while the task was still queued here, and the task was started all the same.
+def test_queued_task_that_another_owner_has_started_is_adopted() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    harness.scheduler.server_by_id["s1"].acquired = False
+    harness.submit("first")
+    harness.submit("job", tasks=2)
+    report = ServerReport(1, runs=(RunListing("job.0.0.1", 1, 10),))
+    harness.scheduler.handle_report("s1", report, harness.now, [], harness.now)
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
+    harness.end(harness.scheduler.run_by_task["job.0.0.1"])
+    assert [run.task_name for run in harness.effects.started] == ["first.0.0.0", "job.0.0.0"]
+    assert harness.effects.done == [("first", 0), ("job", 1)]
+
+
+# Guards against stopping the runs of a reachable holder after a change of the owner: its work
+# item had arrived before the first report of the server, and the run counted as unclaimed.
+def test_run_reported_after_its_work_item_was_resubmitted_is_adopted() -> None:
+    harness = SchedulerHarness(servers=2)
+    harness.scheduler.server_by_id["s1"].acquired = False
+    harness.submit("job", resumed=True, placed={0: "s1"}, deadline_s=5)
+    report = ServerReport(1, runs=(RunListing("job.0.0.0", 1, 10),))
+    harness.scheduler.handle_report("s1", report, harness.now, [], harness.now)
+    harness.advance(0.3)
+    assert not harness.effects.started
+    assert not harness.effects.stopped
+    harness.end(harness.scheduler.run_by_task["job.0.0.0"])
+    assert harness.effects.done == [("job", 0)]
+
+
 def test_new_owner_stops_unclaimed_runs() -> None:
     """Runs of a holder that has died would keep their server from getting new tasks.
 
