Simulate the shards of a large deployment in virtual time

Change: `redwingport-testbed shards` runs the real Holder, Owner, ServerSession and Scheduler with simulated servers on an event loop whose clock jumps to the next timer. An owner's processor is a queue: half of the time of a task before its start order, half when its end is reported. Not modelled: faults of servers but 1 failed run in 500, leases that lapse behind a busy owner, the clients' network, racks, unequal entry VMs.

--- a/packages/testbed/src/redwingport_testbed/main.py
+++ b/packages/testbed/src/redwingport_testbed/main.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Sequence
 
-from redwingport_testbed.commands import bench, demo, echo, load, slopes, standins
+from redwingport_testbed.commands import bench, demo, echo, load, shards, slopes, standins
 from redwingport_testbed.exceptions import TestbedError
 
 COMMAND_BY_NAME = {
@@ -14,6 +14,7 @@
     "bench": bench,
     "echo": echo,
     "slopes": slopes,
+    "shards": shards,
 }
 
 
--- /dev/null
+++ b/packages/testbed/src/redwingport_testbed/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Simulate the shards of a large deployment under load, in virtual time."""
