Log what tells apart the causes of two runs of a task and of unserved jobs

Cause: the lines of two runs of one task named neither shard, owner nor holder, nor why the second was allowed, and a job's line named neither its width nor the shards that refused it. Change: all decisions of an owner carry term and shard. task-placed names the holder and, for run numbers above 1 and resumed work items, the evidence that the earlier run is over. Runs that are taken for over without a report (run-presumed-over), and ends of runs whose task another owner or holder may start, are logged. holder-dropped has the time since the last heartbeat, works-handed-over and works-moved sum up a change of owner and of the number of shards, job-ended has tasks, declared time and offers, and after a refusal or hand-over the refusing shards and the run that completed each task. Metrics: jobs by width and declared time, refusals by shard and reason, abandoned works by shard. The test of the catalogue resolves each dictionary of fields by its variable, and requires term and shard to be listed.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -39,9 +39,18 @@
 
 
 _P, _H, _O = Writer.PROCESS, Writer.HOLDER, Writer.OWNER
+# Identify the owner; part of each decision of an owner.
+OWNER_FIELDS = ("term", "shard")
+# Present if the task had an earlier run or its work item was handed over: whether it was handed
+# over, and the evidence that the earlier run is over.
+EARLIER_RUN_FIELDS = ("resumed", "after")
+# Present if the job was refused by a shard or handed over to another owner. `done` lists, for each
+# completed task, its step and index, run number, server and the age of the report in seconds.
+EARLIER_OFFER_FIELDS = ("refused_by", "handovers", "done")
 # Progress of a run that is stopped to be started elsewhere.
 PROGRESS_FIELDS = (
     "task",
+    "run",
     "server",
     "percent",
     "without_progress_s",
@@ -90,8 +99,25 @@
             "target_s",
             "owner",
             "term",
+            "tasks",
+            "declared_s",
+            "offers",
+            *EARLIER_OFFER_FIELDS,
         ),
     ),
+    LogEvent(
+        "works-handed-over",
+        _H,
+        "the open work items of an owner were submitted to the next owner of the shard",
+        ("shard", "owner", "term", "was", "works", "unheard_s"),
+    ),
+    LogEvent(
+        "works-moved",
+        _H,
+        "open work items were assigned to the shards of a new layout; `moved` counts those whose "
+        "shard has changed",
+        ("count", "was", "works", "moved"),
+    ),
     LogEvent("job-rejected", _H, "a job is invalid or not supported", ("job", "queue", "reason")),
     LogEvent(
         "task-placed",
@@ -106,6 +132,9 @@
             "expected_s",
             "in_time",
             "queued",
+            "holder",
+            *EARLIER_RUN_FIELDS,
+            *OWNER_FIELDS,
         ),
     ),
     LogEvent(
@@ -117,41 +146,73 @@
     LogEvent(
         "run-ended",
         _O,
-        "a run ended without completing its task",
-        ("task", "run", "server", "how"),
+        "a run ended without completing its task, or its task had an earlier run, was handed over "
+        "or belongs to no work item",
+        ("task", "run", "server", "how", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "run-presumed-over",
+        _O,
+        "a run is taken for over without a report of its end",
+        ("task", "run", "server", "after", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "run-stalled",
+        _O,
+        "a run is stopped because it makes no progress",
+        (*PROGRESS_FIELDS, *OWNER_FIELDS),
     ),
-    LogEvent("run-stalled", _O, "a run is stopped because it makes no progress", PROGRESS_FIELDS),
     LogEvent(
         "run-too-slow",
         _O,
         "a slow run is stopped because its task would end sooner on another server",
-        PROGRESS_FIELDS,
+        (*PROGRESS_FIELDS, *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "run-vanished",
+        _O,
+        "a server no longer lists a run",
+        ("task", "run", "server", *OWNER_FIELDS),
     ),
-    LogEvent("run-vanished", _O, "a server no longer lists a run", ("task", "server")),
     LogEvent(
         "run-adopted",
         _O,
         "a run started by a previous owner is continued",
-        ("job", "task", "server"),
+        ("job", "task", "run", "server", "holder", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "orphan-stopped",
+        _O,
+        "a run that no holder claims is stopped",
+        ("task", "run", "server", *OWNER_FIELDS),
     ),
-    LogEvent("orphan-stopped", _O, "a run that no holder claims is stopped", ("task", "server")),
     LogEvent(
         "work-refused",
         _O,
         "a work item was refused before any of its tasks started",
-        ("job", "reason", "retry_after_s", "queued", "waited_s", "left_s", *REFUSAL_FIELDS),
+        (
+            "job",
+            "tasks",
+            "reason",
+            "retry_after_s",
+            "queued",
+            "waited_s",
+            "left_s",
+            *REFUSAL_FIELDS,
+            *OWNER_FIELDS,
+        ),
     ),
     LogEvent(
         "work-abandoned",
         _O,
         "a work item that has started can no longer finish in time",
-        ("job", "open_tasks", "left_s", "queued"),
+        ("job", "open_tasks", "left_s", "queued", *OWNER_FIELDS),
     ),
     LogEvent(
         "work-displaced",
         _O,
         "a work item is cancelled because its job was submitted again",
-        ("job", "holder"),
+        ("job", "holder", *OWNER_FIELDS),
     ),
     LogEvent(
         "work-not-owned",
@@ -162,8 +223,9 @@
     LogEvent(
         "holder-dropped",
         _O,
-        "the work items of a process that is unreachable or has ended are stopped",
-        ("holder", "works"),
+        "the work items of a process that is unreachable or has ended are stopped; `unheard_s` is "
+        "the time since its last heartbeat",
+        ("holder", "works", "unheard_s", *OWNER_FIELDS),
     ),
     LogEvent(
         "news-not-sent",
@@ -171,12 +233,24 @@
         "a notification to a holder was dropped: no link is open, or its queue is full",
         ("holder",),
     ),
-    LogEvent("server-added", _O, "a server was added", ("server", "domain", "kind")),
     LogEvent(
-        "server-state", _O, "a server has started or stopped draining", ("server", "draining")
+        "server-added", _O, "a server was added", ("server", "domain", "kind", *OWNER_FIELDS)
+    ),
+    LogEvent(
+        "server-state",
+        _O,
+        "a server has started or stopped draining",
+        ("server", "draining", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "server-unlisted",
+        _O,
+        "the store no longer lists a server",
+        ("server", "answers", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "server-dropped", _O, "a server is no longer used", ("server", "reason", *OWNER_FIELDS)
     ),
-    LogEvent("server-unlisted", _O, "the store no longer lists a server", ("server", "answers")),
-    LogEvent("server-dropped", _O, "a server is no longer used", ("server", "reason")),
     LogEvent(
         "server-lost",
         _O,
@@ -190,7 +264,10 @@
         ("server", "runs", "token"),
     ),
     LogEvent(
-        "server-answered", _O, "a server answers an order after an unanswered one", ("server",)
+        "server-answered",
+        _O,
+        "a server answers an order after an unanswered one",
+        ("server", *OWNER_FIELDS),
     ),
     LogEvent(
         "server-restarted", _O, "a server has restarted", ("server", "born_ms", "was_born_ms")
@@ -202,7 +279,10 @@
         ("server", "token", "contests"),
     ),
     LogEvent(
-        "server-ejected", _O, "a server is excluded because runs fail there", ("server", "for_s")
+        "server-ejected",
+        _O,
+        "a server is excluded because runs fail there",
+        ("server", "for_s", *OWNER_FIELDS),
     ),
     LogEvent(
         "owner-changed",
@@ -214,7 +294,7 @@
         "owner-challenged",
         _O,
         "a server obeys another owner, so placement is paused for three heartbeats",
-        ("server",),
+        ("server", *OWNER_FIELDS),
     ),
     LogEvent("owner-failed", _P, "an owner ended with an error", ("term", "error")),
     LogEvent("shards-raised", _P, "the number of shards was raised", ("count", "was")),
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -70,11 +71,15 @@
     :param next_run: lowest number that the next run of the task may have.
     :param placed_on: id of the server of the last known run; empty for none.
     :param done: whether the task is done.
+    :param done_run: number of the run that has completed it; 0 before.
+    :param done_at: monotonic time at which its completion was reported, in seconds; 0 before.
     """
 
     next_run: int = 1
     placed_on: str = ""
     done: bool = False
+    done_run: int = 0
+    done_at: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -85,6 +90,10 @@
         before the first submission and after a refusal.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
+    :param offers: number of shards to which it was offered, including repeated offers to one that
+        had refused it in a previous layout of the shards.
+    :param refusing_shards: shards that have refused it, in any layout.
+    :param handovers: number of times that it was handed over to another owner.
     """
 
     work_id: int
@@ -94,6 +103,9 @@
     submitted_to: tuple[str, int] = ("", 0)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
+    offers: int = 0
+    refusing_shards: list[int] = field(default_factory=list)
+    handovers: int = 0
 
     @property
     def done(self) -> bool:
@@ -215,10 +227,40 @@
         :param shard_owners: owners by number of the shard.
         """
         before, self._shard_owners = self._shard_owners, shard_owners
-        for work in list(self._work_by_id.values()):
+        handovers: Counter[tuple[int, str]] = Counter()
+        works = list(self._work_by_id.values())
+        moved = 0
+        for work in works:
+            former_shard = work.shards[work.refused_shards] if work.shards else None
             shard = self._shard_of(work)
+            moved += former_shard != shard
             if len(before) != len(shard_owners) or before[shard] != shard_owners[shard]:
+                former, earlier_handovers = work.submitted_to[0], work.handovers
                 self._submit(work)
+                if work.handovers > earlier_handovers:
+                    handovers[shard, former] += 1
+        if before and len(before) != len(shard_owners) and works:
+            log_event(
+                decisions,
+                logging.INFO,
+                "works-moved",
+                count=len(shard_owners),
+                was=len(before),
+                works=len(works),
+                moved=moved,
+            )
+        for (shard, was), count in handovers.items():
+            log_event(
+                decisions,
+                logging.INFO,
+                "works-handed-over",
+                shard=shard,
+                owner=shard_owners[shard].owner,
+                term=shard_owners[shard].term,
+                was=was,
+                works=count,
+                unheard_s=round(self._unheard_s(was), 3),
+            )
 
     def resubmit(self, owner: str) -> None:
         """Submit all open work items of an owner again, including those it may already have."""
@@ -261,7 +303,9 @@
                     # again.
                     self._submit(work)
             elif event == "done":
-                task.done = True
+                if not task.done:
+                    task.done, task.done_run, task.done_at = True, run_number, anyio.current_time()
+                    task.placed_on = server_id or task.placed_on
                 self._finish_work(work)
             else:
                 reason = f"task {index} failed {work.job.route.attempts} times"
@@ -336,8 +380,14 @@
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
+        counts = work.offers, work.handovers
+        if not before[0]:
+            work.offers += 1
+        elif before != work.submitted_to:
+            work.handovers += 1
         if not self._send(shard_owner.owner, message):
             work.submitted_to = before
+            work.offers, work.handovers = counts
 
     def _record_placement(self, job: Job) -> None:
         if not job.started:
@@ -358,6 +408,7 @@
         work = self._work_by_id.get(message.work_id)
         if work is None or work.submitted_to != (sender, message.term):
             return
+        work.refusing_shards.append(self._shard_of(work))
         offers = len(self._shard_owners)
         if message.reason not in (FITS_ON_NO_SERVER, NO_SERVER):
             offers = min(offers, MAX_OFFERS_UNDER_LOAD)
@@ -400,7 +451,21 @@
             if work.submitted_to[0] and not work.done:
                 self._send(shard_owner.owner, CancelWork(work.work_id))
         now = anyio.current_time()
-        self._metrics.observe_job(job.route.name, end.outcome, now - job.received_at)
+        steps = job.request.steps
+        tasks = sum(step.count for step in steps)
+        declared_s = sum(step.count * step.shape.estimate_s for step in steps)
+        self._metrics.observe_job(
+            job.route.name, end.outcome, now - job.received_at, tasks, declared_s
+        )
+        works = job.work_by_step.values()
+        refused_by = [shard for work in works for shard in work.refusing_shards]
+        earlier: dict[str, object] = {}
+        if refused_by or any(work.handovers for work in works):
+            earlier = {
+                "refused_by": refused_by,
+                "handovers": sum(work.handovers for work in works),
+                "done": _list_completed_runs(job, now),
+            }
         log_event(
             decisions,
             logging.INFO,
@@ -414,4 +479,18 @@
             target_s=round(job.target_at - job.received_at, 4),
             owner=shard_owner.owner,
             term=shard_owner.term,
+            tasks=tasks,
+            declared_s=round(declared_s, 3),
+            offers=sum(work.offers for work in works),
+            **earlier,
         )
+
+
+def _list_completed_runs(job: Job, now: float) -> list[tuple[str, int, str, float]]:
+    """Return step and index, run number, server and age of the report of each done task."""
+    return [
+        (f"{work.step}.{index}", task.done_run, task.placed_on, round(now - task.done_at, 3))
+        for work in job.work_by_step.values()
+        for index, task in work.task_by_index.items()
+        if task.done
+    ]
--- a/packages/dispatch/src/redwingport_dispatch/metrics.py
+++ b/packages/dispatch/src/redwingport_dispatch/metrics.py
@@ -6,6 +6,8 @@
 from redwingport_dispatch.exceptions import OrderError, StoreError
 
 DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0)
+TASK_BUCKETS = (1, 2, 4, 8, 16, 32)
+DECLARED_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0)
 
 
 class Metrics:
@@ -27,6 +29,20 @@
             buckets=DURATION_BUCKETS_S,
             registry=self.registry,
         )
+        self._job_tasks = Histogram(
+            "redwingport_job_tasks",
+            "Number of tasks of an answered job",
+            ("outcome",),
+            buckets=TASK_BUCKETS,
+            registry=self.registry,
+        )
+        self._job_declared_seconds = Histogram(
+            "redwingport_job_declared_seconds",
+            "Sum of the declared run times of the tasks of an answered job",
+            ("outcome",),
+            buckets=DECLARED_BUCKETS_S,
+            registry=self.registry,
+        )
         self._first_start_seconds = Histogram(
             "redwingport_job_first_start_seconds",
             "Time from receipt of a job to the order to start its first task",
@@ -67,16 +83,39 @@
             ("shard",),
             registry=self.registry,
         )
+        self.refused_works = Counter(
+            "redwingport_refused_works",
+            "Works that the owner of a shard refused, by reason",
+            ("shard", "reason"),
+            registry=self.registry,
+        )
+        self.abandoned_works = Counter(
+            "redwingport_abandoned_works",
+            "Works that the owner of a shard abandoned after they had started",
+            ("shard",),
+            registry=self.registry,
+        )
         self.configuration_revision = Gauge(
             "redwingport_configuration_revision",
             "Revision of the configuration in force",
             registry=self.registry,
         )
 
-    def observe_job(self, queue: str, outcome: str, duration_s: float) -> None:
-        """Record the end of a job and the time since its receipt, in seconds."""
+    def observe_job(
+        self, queue: str, outcome: str, duration_s: float, tasks: int, declared_s: float
+    ) -> None:
+        """Record the end of a job.
+
+        :param queue: queue of the job.
+        :param outcome: outcome of the job.
+        :param duration_s: time since its receipt, in seconds.
+        :param tasks: number of its tasks.
+        :param declared_s: sum of the declared run times of its tasks, in seconds.
+        """
         self._jobs.labels(queue, outcome).inc()
         self._job_seconds.labels(outcome).observe(duration_s)
+        self._job_tasks.labels(outcome).observe(tasks)
+        self._job_declared_seconds.labels(outcome).observe(declared_s)
 
     def observe_first_start(self, wait_s: float) -> None:
         """Record the time from receipt of a job to its first start order, in seconds."""
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -195,11 +195,17 @@
         self.scheduler.cancel((holder, message.work_id), anyio.current_time())
         self._flush_task_events()
 
-    def drop_holder(self, holder: str) -> None:
-        """Stop the work items of a holder that is unreachable or has ended."""
+    def drop_holder(self, holder: str, unheard_s: float) -> None:
+        """Stop the work items of a holder that is unreachable or has ended.
+
+        :param holder: incarnation of the holder.
+        :param unheard_s: time since its last heartbeat, in seconds; for the log.
+        """
         dropped = self.scheduler.drop_holder(holder, anyio.current_time())
         if dropped:
-            self.log_decision("holder-dropped", holder=holder, works=dropped)
+            self.log_decision(
+                "holder-dropped", holder=holder, works=dropped, unheard_s=round(unheard_s, 3)
+            )
         self._flush_task_events()
 
     # Effects
@@ -218,9 +224,10 @@
         """Notify the holder that the start of a task was ordered; see :class:`Effects`."""
         self._add_event(work, (work.work_id, run.index, "placed", run.number, run.server_id))
         now = anyio.current_time()
-        log_event(
-            decisions,
-            logging.INFO,
+        earlier: dict[str, object] = {}
+        if run.number > 1 or work.resumed:
+            earlier = {"resumed": work.resumed, "after": run.after}
+        self.log_decision(
             "task-placed",
             job=work.job_id,
             task=run.task_name,
@@ -230,6 +237,8 @@
             expected_s=round(placement.expected_s, 4),
             in_time=placement.in_time,
             queued=len(self.scheduler.queue),
+            holder=work.holder,
+            **earlier,
         )
 
     def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
@@ -244,9 +253,11 @@
         self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
     ) -> None:
         """Notify the holder that a work item was refused; see :class:`Effects`."""
+        self._metrics.refused_works.labels(self._shard, reason).inc()
         self.log_decision(
             "work-refused",
             job=work.job_id,
+            tasks=len(work.task_by_index),
             reason=reason,
             retry_after_s=retry_after_s,
             queued=len(self.scheduler.queue),
@@ -260,6 +271,7 @@
 
     def abandon(self, work: Work) -> None:
         """Notify the holder that a work item can no longer finish; see :class:`Effects`."""
+        self._metrics.abandoned_works.labels(self._shard).inc()
         self.log_decision(
             "work-abandoned",
             job=work.job_id,
@@ -271,7 +283,7 @@
 
     def log_decision(self, event: str, **fields: object) -> None:
         """Log an event of a run or a server; see :class:`Effects`."""
-        log_event(decisions, logging.INFO, event, term=self.term, **fields)
+        log_event(decisions, logging.INFO, event, term=self.term, shard=self._shard, **fields)
 
     def _add_event(self, work: Work, event: tuple[int, int, TaskEvent, int, str]) -> None:
         if not self._events_by_holder and self._task_group is not None:
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -294,7 +294,7 @@
         self._reachable_peers = reachable
         for incarnation in lost:
             log_event(logger, logging.WARNING, "peer-lost", peer=incarnation)
-            self._drop_holder(incarnation)
+            self._drop_holder(incarnation, self._election.unheard_s(incarnation, now))
         others = self._directory.others
         if others is not None and self._directory.is_restart:
             self._election.end_startup_grace(others, self._mesh.refusing_addresses(), now)
@@ -313,9 +313,9 @@
                 self._change_owner(shard, was, shard_owner)
         self.holder.set_owners(shard_owners)
 
-    def _drop_holder(self, incarnation: str) -> None:
+    def _drop_holder(self, incarnation: str, unheard_s: float) -> None:
         for owner in self._owner_by_shard.values():
-            owner.drop_holder(incarnation)
+            owner.drop_holder(incarnation, unheard_s)
 
     def _change_owner(self, shard: int, was: ShardOwner, shard_owner: ShardOwner) -> None:
         log_event(
@@ -435,9 +435,10 @@
         for incarnation, view in list(self._election.peer_by_incarnation.items()):
             same_address = view.presence.address == presence.address
             if same_address and incarnation != presence.incarnation:
+                unheard_s = self._election.unheard_s(incarnation, anyio.current_time())
                 self._election.remove_peer(incarnation)
                 self._reachable_peers.discard(incarnation)
-                self._drop_holder(incarnation)
+                self._drop_holder(incarnation, unheard_s)
 
     def _handle_work(self, sender: str, message: OwnerMessage) -> None:
         if isinstance(message, CancelWork):
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -24,6 +24,7 @@
 from redwingport_dispatch.scheduling.stragglers import ends_sooner_elsewhere, is_late, is_stalled
 from redwingport_dispatch.scheduling.work import (
     Run,
+    RunOver,
     RunState,
     Task,
     TaskState,
@@ -102,7 +103,7 @@
             return
         self.speeds.forget(server_id)
         for run in list(server.run_by_task.values()):
-            self._forget_run(run)
+            self._forget_run(run, RunOver.SERVER_REMOVED)
             self._requeue(run, now)
         self.dispatch(now)
 
@@ -161,6 +162,7 @@
         # If the previous owner was reachable until recently, its reports may be in flight.
         recently_reachable = resumed and unheard_s < HANDOVER_REPORT_S
         work.handover_until = now + HANDOVER_REPORT_S if recently_reachable else now
+        work.resumed = resumed
         work.ever_started = resumed or self._history.has_started(work.job_id)
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), resumed)
@@ -193,7 +195,7 @@
         """
         works = [work for work in self.work_by_key.values() if work.holder == holder]
         for work in works:
-            self._drop_work(work, now)
+            self._drop_work(work, now, logs_ends=True)
         if works:
             self.dispatch(now)
         return len(works)
@@ -203,6 +205,7 @@
         unclaimed = self._history.claim_end(name)
         if unclaimed is not None:
             task.next_run = max(task.next_run, unclaimed.number + 1)
+            task.after = RunOver.END_REPORTED
             if unclaimed.kind is EndKind.DONE:
                 task.state = TaskState.DONE
                 self._effects.report_done(work, task, unclaimed.number, placed_on)
@@ -215,9 +218,15 @@
                 self.server_by_id[run.server_id].set_run_shape(run, work.shape)
                 task.state = TaskState.ACTIVE
                 self._effects.log_decision(
-                    "run-adopted", job=work.job_id, task=name, server=run.server_id
+                    "run-adopted",
+                    job=work.job_id,
+                    task=name,
+                    run=run.number,
+                    server=run.server_id,
+                    holder=work.holder,
                 )
             else:
+                task.earlier_run = run
                 task.state = TaskState.BLOCKED
                 task.blocked_on = run.server_id
         elif resumed:
@@ -229,7 +238,7 @@
         for other in list(self.work_by_key.values()):
             if other.job_id == work.job_id and other.step == work.step:
                 self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
-                self._drop_work(other, now)
+                self._drop_work(other, now, logs_ends=True)
 
     def _resubmit(self, work: Work, placed_by_index: dict[int, str]) -> None:
         """Update a resubmitted work item with the placements that its holder knows now."""
@@ -248,12 +257,13 @@
         self._forget_work(work)
         self._history.note_ended(work, now)
 
-    def _drop_work(self, work: Work, now: float) -> None:
+    def _drop_work(self, work: Work, now: float, logs_ends: bool = False) -> None:
         self._forget_work(work)
         for task in work.task_by_index.values():
             run = self.run_by_task.get(work.task_name(task.index))
             if run is not None and run.work is work:
                 run.work = None
+                run.logs_end = logs_ends
                 self._stop_run(run, now)
 
     def _forget_work(self, work: Work) -> None:
@@ -330,6 +340,7 @@
             state=RunState.STARTING,
             ordered_at=now,
             expected_s=placement.expected_s,
+            after=task.after,
         )
         task.state = TaskState.ACTIVE
         task.next_run += 1
@@ -371,7 +382,7 @@
             run.stop_due_at = now
             return
         self._handle_rejected_start(server, run, failure, now)
-        self._forget_run(run)
+        self._forget_run(run, RunOver.START_REJECTED)
         self._requeue(run, now)
         self.dispatch(now)
 
@@ -493,7 +504,7 @@
         if server is None:
             return
         for run in [run for run in server.run_by_task.values() if run.accepted_at]:
-            self._forget_run(run)
+            self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
 
     def _reconcile_run(
@@ -506,10 +517,8 @@
         if listed is None:
             known_before = run.accepted_at and run.accepted_at < sent_at
             if known_before and run.state in (RunState.RUNNING, RunState.STOPPING):
-                self._effects.log_decision(
-                    "run-vanished", task=run.task_name, server=run.server_id
-                )
-                self._forget_run(run)
+                self._log_run("run-vanished", run)
+                self._forget_run(run, RunOver.NOT_LISTED)
                 self._requeue(run, now)
             return
         if listed.number != run.number:
@@ -542,6 +551,7 @@
         self._effects.log_decision(
             event,
             task=run.task_name,
+            run=run.number,
             server=run.server_id,
             percent=run.progress.percent,
             without_progress_s=round(run.progress.stalled_s, 3),
@@ -549,6 +559,9 @@
             expected_s=round(run.expected_s, 3),
         )
 
+    def _log_run(self, event: str, run: Run) -> None:
+        self._effects.log_decision(event, task=run.task_name, run=run.number, server=run.server_id)
+
     def _relocate_run(self, run: Run, now: float) -> None:
         """Stop a run; its task is restarted as soon as the run has certainly ended."""
         work = run.work
@@ -582,11 +595,14 @@
         run = self.run_by_task.get(end.task)
         self._history.note_started(job_id_of(end.task), now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
+            self._log_end(server, end)
             self._history.note_unclaimed_end(end, now)
             return
-        self._forget_run(run)
+        self._forget_run(run, RunOver.END_REPORTED)
         work = run.work
         if work is None:
+            if run.logs_end or run.orphan_until:
+                self._log_end(server, end)
             self._history.note_unclaimed_end(end, now)
             return
         task = work.task_by_index[run.index]
@@ -594,6 +610,8 @@
             self._learn_speed(server, run, now)
             self._record_end(server, succeeded=True, now=now)
             task.state = TaskState.DONE
+            if work.resumed or run.number > 1:
+                self._log_end(server, end)
             self._effects.report_done(work, task, run.number, run.server_id)
             if work.is_done():
                 self._finish(work, now)
@@ -601,14 +619,17 @@
         if end.kind is EndKind.FAILED:
             self._record_end(server, succeeded=False, now=now)
             task.failures += 1
+        self._log_end(server, end)
+        self._requeue(run, now)
+
+    def _log_end(self, server: ServerState, end: RunEnd) -> None:
         self._effects.log_decision(
             "run-ended",
-            task=run.task_name,
-            run=run.number,
-            server=run.server_id,
+            task=end.task,
+            run=end.number,
+            server=server.listing.server_id,
             how=end.kind.name,
         )
-        self._requeue(run, now)
 
     def _learn_speed(self, server: ServerState, run: Run, now: float) -> None:
         if run.accepted_at and run.shape.estimate_s:
@@ -630,7 +651,8 @@
     def _is_known(self, run: Run) -> bool:
         return self.run_by_task.get(run.task_name) is run
 
-    def _forget_run(self, run: Run) -> None:
+    def _forget_run(self, run: Run, over: RunOver) -> None:
+        run.over = over
         if self._is_known(run):
             del self.run_by_task[run.task_name]
         server = self.server_by_id.get(run.server_id)
@@ -649,6 +671,7 @@
             self._drop_work(work, now)
             return
         task.state = TaskState.QUEUED
+        task.after = run.over or RunOver.NONE_KNOWN
         self.queue.add(work)
 
     def _stop_run(self, run: Run, now: float) -> None:
@@ -677,10 +700,20 @@
     def _check_run(self, run: Run, now: float) -> None:
         server = self.server_by_id[run.server_id]
         if run.orphan_until and now >= run.orphan_until:
-            self._effects.log_decision("orphan-stopped", task=run.task_name, server=run.server_id)
+            self._log_run("orphan-stopped", run)
+            run.logs_end = True
             self._stop_run(run, now)
-        if run.stop_effective_at and now >= run.stop_effective_at or now >= server.lease_ends_at:
-            self._forget_run(run)
+        stopped = bool(run.stop_effective_at) and now >= run.stop_effective_at
+        if stopped or now >= server.lease_ends_at:
+            over = RunOver.STOP_CONFIRMED if stopped else RunOver.LEASE_ENDED
+            self._effects.log_decision(
+                "run-presumed-over",
+                task=run.task_name,
+                run=run.number,
+                server=run.server_id,
+                after=over,
+            )
+            self._forget_run(run, over)
             self._requeue(run, now)
         elif run.stop_due_at and now >= run.stop_due_at:
             run.stop_due_at = now + STOP_RETRY_S
@@ -689,24 +722,33 @@
     def _unblock_tasks(self, now: float) -> None:
         for work in list(self._blocked):
             for task in work.task_by_index.values():
-                if task.state is TaskState.BLOCKED and self._has_no_earlier_run(work, task, now):
+                if task.state is not TaskState.BLOCKED:
+                    continue
+                over = self._find_earlier_run_over(work, task, now)
+                if over is not None:
                     task.state = TaskState.QUEUED
+                    task.after = over
                     self.queue.add(work)
             if all(t.state is not TaskState.BLOCKED for t in work.task_by_index.values()):
                 self._blocked.discard(work)
 
-    def _has_no_earlier_run(self, work: Work, task: Task, now: float) -> bool:
-        """Return whether no earlier run of a task can still be running."""
+    def _find_earlier_run_over(self, work: Work, task: Task, now: float) -> RunOver | None:
+        """Return the evidence that no earlier run of a task is running; None without evidence."""
         if work.task_name(task.index) in self.run_by_task:
-            return False
+            return None
+        known = task.earlier_run.over if task.earlier_run is not None else None
         if now >= work.safe_at:
-            return True
+            return known or RunOver.EARLIER_LEASES_ENDED
         if now < work.handover_until:
-            return False
+            return None
         if task.blocked_on:
             server = self.server_by_id.get(task.blocked_on)
-            return server is not None and server.acquired
-        return all(server.acquired for server in self.server_by_id.values())
+            listed = server is not None and server.acquired
+            over = RunOver.SERVER_LISTED
+        else:
+            listed = all(server.acquired for server in self.server_by_id.values())
+            over = RunOver.ALL_SERVERS_LISTED
+        return (known or over) if listed else None
 
     def refuse(
         self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -41,6 +41,33 @@
     """The run is being stopped and its end has not been reported yet."""
 
 
+class RunOver(enum.StrEnum):
+    """Evidence that an earlier run of a task is over, so that the task may start again."""
+
+    NONE_KNOWN = "none-known"
+    """No earlier run was known."""
+    END_REPORTED = "end-reported"
+    """Its server has reported its end."""
+    STOP_CONFIRMED = "stop-confirmed"
+    """Its server has accepted a stop order, which has taken effect since."""
+    LEASE_ENDED = "lease-ended"
+    """The last lease that this owner gave has ended."""
+    EARLIER_LEASES_ENDED = "earlier-leases-ended"
+    """All leases that an earlier owner may have given have ended."""
+    START_REJECTED = "start-rejected"
+    """Its server has rejected the start order."""
+    NOT_LISTED = "not-listed"
+    """Its server no longer lists it."""
+    SERVER_RESTARTED = "server-restarted"
+    """Its server has restarted."""
+    SERVER_REMOVED = "server-removed"
+    """Its server is no longer used."""
+    SERVER_LISTED = "server-listed"
+    """The server of the last known run has listed its runs, and the task was not among them."""
+    ALL_SERVERS_LISTED = "all-servers-listed"
+    """All servers of the shard have listed their runs, and the task was not among them."""
+
+
 @dataclass(slots=True)
 class Task:
     """Represent a task of a work item.
@@ -51,6 +78,8 @@
     :param failures: number of runs that failed.
     :param blocked_on: id of the server whose report decides whether an earlier run is still
         running; empty when the reports of all servers are needed.
+    :param earlier_run: run of an earlier submission, for which the task waits.
+    :param after: evidence that its last run is over; for the log.
     """
 
     index: int
@@ -58,6 +87,8 @@
     state: TaskState = TaskState.QUEUED
     failures: int = 0
     blocked_on: str = ""
+    earlier_run: "Run | None" = None
+    after: RunOver = RunOver.NONE_KNOWN
 
 
 @dataclass(slots=True, eq=False)
@@ -81,6 +112,7 @@
         arrive, in seconds.
     :param late: whether the work item arrived too late to meet its target even without queueing.
     :param ever_started: whether this owner has ordered a run of it, or an earlier owner may have.
+    :param resumed: whether it was submitted to an earlier owner before; for the log.
     """
 
     holder: str
@@ -99,6 +131,7 @@
     handover_until: float = 0.0
     late: bool = False
     ever_started: bool = False
+    resumed: bool = False
     task_by_index: dict[int, Task] = field(default_factory=dict)
 
     @property
@@ -148,6 +181,10 @@
         in seconds; 0 when no stop was accepted.
     :param orphan_until: monotonic time until which a process may claim an orphaned run, in
         seconds; 0 for a run that is not an orphan.
+    :param after: evidence that the previous run of the task is over; for the log.
+    :param over: evidence that this run is over; None before.
+    :param logs_end: whether its end is logged although it belongs to no work item, because its
+        task may be started by another owner or for another holder.
     """
 
     task_name: str
@@ -164,6 +201,9 @@
     stop_due_at: float = 0.0
     stop_effective_at: float = 0.0
     orphan_until: float = 0.0
+    after: RunOver = RunOver.NONE_KNOWN
+    over: RunOver | None = None
+    logs_end: bool = False
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -33,6 +33,7 @@
     refused: list[tuple[str, str, int]] = field(default_factory=list)
     abandoned: list[str] = field(default_factory=list)
     events: list[str] = field(default_factory=list)
+    fields_by_event: dict[str, list[dict[str, object]]] = field(default_factory=dict)
 
     def start(self, run: Run, work: Work) -> None:
         self.started.append(run)
@@ -59,6 +60,7 @@
 
     def log_decision(self, event: str, **fields: object) -> None:
         self.events.append(event)
+        self.fields_by_event.setdefault(event, []).append(fields)
 
 
 class SchedulerHarness:
--- a/packages/dispatch/tests/test_events.py
+++ b/packages/dispatch/tests/test_events.py
@@ -10,8 +10,11 @@
 import redwingport_dispatch
 from redwingport_dispatch.events import (
     BEGIN,
+    EARLIER_OFFER_FIELDS,
+    EARLIER_RUN_FIELDS,
     END,
     EVENTS,
+    OWNER_FIELDS,
     PROGRESS_FIELDS,
     REFUSAL_FIELDS,
     insert_events,
@@ -20,9 +23,14 @@
 
 SOURCE = Path(redwingport_dispatch.__file__).parent
 ADAPTER = Path(__file__).parents[3] / "platform" / "src"
-WRITERS = {"log_event", "log_decision", "_log_moved"}
-# Added to each line by the owner's log method.
-TERM = "term"
+WRITERS = {"log_event", "log_decision", "_log_moved", "_log_run"}
+RUN_FIELDS = ("task", "run", "server")
+# Fields that are passed as a dictionary, by the name of the variable.
+FIELDS_BY_VARIABLE = {
+    ("owner.py", "earlier"): EARLIER_RUN_FIELDS,
+    ("holder.py", "earlier"): EARLIER_OFFER_FIELDS,
+    ("owner.py", "inputs"): REFUSAL_FIELDS,
+}
 # Written by the log handler, not through a function with fields.
 WRITTEN_BY_HANDLER = {"log-lines-suppressed"}
 
@@ -43,8 +51,14 @@
                 fields = {keyword.arg for keyword in node.keywords if keyword.arg}
                 if name == "_log_moved":
                     fields |= set(PROGRESS_FIELDS)
-                if any(keyword.arg is None for keyword in node.keywords):
-                    fields |= set(REFUSAL_FIELDS)
+                elif name == "_log_run":
+                    fields |= set(RUN_FIELDS)
+                if name != "log_event":
+                    fields |= set(OWNER_FIELDS)
+                for keyword in node.keywords:
+                    if keyword.arg is None:
+                        assert isinstance(keyword.value, ast.Name)
+                        fields |= set(FIELDS_BY_VARIABLE[path.name, keyword.value.id])
                 yield texts[0], fields
 
 
@@ -55,7 +69,7 @@
     listed = {event.name: set(event.fields) for event in EVENTS}
     assert set(written) == set(listed) - WRITTEN_BY_HANDLER
     for name, fields in written.items():
-        assert fields - {TERM} == listed[name] - {TERM}, name
+        assert fields == listed[name], name
 
 
 def test_each_event_is_listed_once() -> None:
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -1,5 +1,6 @@
 """Jobs in the holder, the process to which their clients are connected."""
 
+import logging
 from collections.abc import Callable
 
 import anyio
@@ -231,3 +232,73 @@
         return shards
 
     assert await find_offers() == await find_offers()
+
+
+def logged(caplog: pytest.LogCaptureFixture, event: str) -> list[dict[str, object]]:
+    """Return the fields of the lines of an event."""
+    return [vars(record)["fields"] for record in caplog.records if record.getMessage() == event]
+
+
+async def test_handover_of_work_items_is_logged_once_for_each_change_of_owner(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.handle_notification("o", TaskNews([(1, 0, "done", 1, "s")]))
+        holder.set_owners([ShardOwner("p", 2)])
+        holder.handle_notification("p", TaskNews([(1, 1, "done", 2, "t")]))
+
+    await run_job(make_job(), script)
+    assert logged(caplog, "works-handed-over") == [
+        {"shard": 0, "owner": "p", "term": 2, "was": "o", "works": 1, "unheard_s": 0.0}
+    ]
+    [ended] = logged(caplog, "job-ended")
+    assert (ended["tasks"], ended["declared_s"], ended["offers"]) == (2, 0.2, 1)
+    assert ended["handovers"] == 1
+    assert isinstance(ended["done"], list)
+    assert [row[:3] for row in ended["done"]] == [("0.0", 1, "s"), ("0.1", 2, "t")]
+
+
+async def test_job_end_names_the_shards_that_refused_it(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("o", 1), ShardOwner("p", 2), ShardOwner("q", 3)])
+        for _ in range(2):
+            owner, message = links.sent[-1]
+            term = {"o": 1, "p": 2, "q": 3}[owner]
+            holder.handle_notification(owner, WorkRefused(message.work_id, term, "too late", 1))
+
+    assert (await run_job(make_job(), script)).outcome is Outcome.REFUSED
+    [ended] = logged(caplog, "job-ended")
+    assert isinstance(ended["refused_by"], list)
+    assert len(set(ended["refused_by"])) == 2
+
+
+async def test_raised_number_of_shards_logs_how_many_works_moved(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner(f"o{shard}", 2) for shard in range(8)])
+
+    await run_job(make_job(), script)
+    [moved] = logged(caplog, "works-moved")
+    assert (moved["count"], moved["was"], moved["works"]) == (8, 1, 1)
+    assert moved["moved"] in (0, 1)
+
+
+async def test_job_served_by_its_first_shard_has_a_short_line(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against the cost of fields that say nothing about most jobs."""
+    caplog.set_level(logging.INFO)
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.handle_notification("o", TaskNews([(1, 0, "done", 1, "s"), (1, 1, "done", 1, "s")]))
+
+    await run_job(make_job(), script)
+    [ended] = logged(caplog, "job-ended")
+    assert not {"refused_by", "handovers", "done"} & set(ended)
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -1,10 +1,15 @@
-"""Owner at the start of its term."""
+"""Owner at the start of its term, and the lines that it logs."""
 
+import logging
+
+import anyio
 import pytest
 
-from redwingport_dispatch.interfaces import ServerClient, ServerListing
+from redwingport_dispatch.interfaces import ServerClient, ServerListing, TaskShape
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
+from redwingport_dispatch.scheduling.placement import Placement
+from redwingport_dispatch.scheduling.work import Run, RunOver, RunState, Task, Work
 from redwingport_dispatch.settings import Settings
 from redwingport_messages.dispatch import SubmitWork
 
@@ -30,15 +35,11 @@
         raise AssertionError("no session is opened before the owner runs")
 
 
-async def test_work_item_submitted_before_sessions_are_open_is_not_refused() -> None:
-    """Guard against refusals for lack of servers while the sessions are not open yet.
-
-    Holders submit their work items as soon as a new owner is elected.
-    """
+def make_owner(notifications: list[Notification], shard: int = 0) -> Owner:
+    """Create an owner of one server for its first term."""
     listing = ServerListing("s0", "desk", "127.0.0.1:1", "d", 16000, 65536, 0, ("a",), False)
-    notifications: list[Notification] = []
-    owner = Owner(
-        0,
+    return Owner(
+        shard,
         SETTINGS,
         NoServerClients(),
         {"s0": listing},
@@ -48,6 +49,15 @@
         lambda holder, message: notifications.append(message),
         Metrics(),
     )
+
+
+async def test_work_item_submitted_before_sessions_are_open_is_not_refused() -> None:
+    """Guard against refusals for lack of servers while the sessions are not open yet.
+
+    Holders submit their work items as soon as a new owner is elected.
+    """
+    notifications: list[Notification] = []
+    owner = make_owner(notifications)
     work = SubmitWork(
         work_id=1,
         job_id="0" * 16,
@@ -73,3 +83,31 @@
     )
     owner.submit("holder", work)
     assert notifications == []
+
+
+@pytest.mark.parametrize(
+    ("number", "resumed", "earlier"),
+    [
+        (1, False, {}),
+        (2, False, {"resumed": False, "after": RunOver.LEASE_ENDED}),
+        (1, True, {"resumed": True, "after": RunOver.LEASE_ENDED}),
+    ],
+)
+async def test_placement_names_owner_and_holder_and_why_an_earlier_run_is_over(
+    caplog: pytest.LogCaptureFixture, number: int, resumed: bool, earlier: dict[str, object]
+) -> None:
+    """Guard against two runs of a task whose owners and holders the logs do not tell apart."""
+    caplog.set_level(logging.INFO)
+    owner = make_owner([], shard=3)
+    now = anyio.current_time()
+    shape = TaskShape(1000, 64, 0, 0.1)
+    work = Work("holder", 1, "job", 0, "desk", "", shape, 0, 3, now, now + 1, now + 2)
+    work.resumed = resumed
+    work.task_by_index[0] = Task(0)
+    run = Run("job.0.0.0", number, "s0", shape, work, 0, RunState.STARTING, now)
+    run.after = RunOver.LEASE_ENDED
+    server = owner.scheduler.server_by_id["s0"]
+    owner.report_placed(work, run, Placement(server, 0.1, True))
+    fields = vars(caplog.records[-1])["fields"]
+    assert (fields["shard"], fields["term"], fields["holder"]) == (3, 1, "holder")
+    assert {key: fields[key] for key in ("resumed", "after") if key in fields} == earlier
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -4,7 +4,7 @@
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import EndKind, RunListing, ServerReport
-from redwingport_dispatch.scheduling.work import RunState
+from redwingport_dispatch.scheduling.work import RunOver, RunState
 
 
 def test_run_on_long_idle_server_does_not_count_as_lapsed() -> None:
@@ -290,3 +290,75 @@
     harness.end(harness.effects.started[0], EndKind.STOPPED)
     harness.advance(0.05)
     assert [run.number for run in harness.effects.started] == [1, 2]
+
+
+def test_restart_names_the_evidence_that_the_earlier_run_is_over() -> None:
+    """Guard against a second start in the logs without the reason why it was allowed."""
+    harness = SchedulerHarness(servers=2)
+    harness.submit("job", attempts=9, deadline_s=60)
+    harness.accept_all()
+    harness.end(harness.effects.started[-1], EndKind.FAILED)
+    harness.lose_start(harness.effects.started[-1])
+    harness.scheduler.handle_stopped(harness.effects.started[-1], harness.now)
+    harness.advance(0.2)
+    harness.lose_start(harness.effects.started[-1])
+    harness.advance(1.1)
+    assert [run.after for run in harness.effects.started] == [
+        RunOver.NONE_KNOWN,
+        RunOver.END_REPORTED,
+        RunOver.STOP_CONFIRMED,
+        RunOver.LEASE_ENDED,
+    ]
+    presumed = harness.effects.fields_by_event["run-presumed-over"]
+    assert [(fields["run"], fields["after"]) for fields in presumed] == [
+        (2, RunOver.STOP_CONFIRMED),
+        (3, RunOver.LEASE_ENDED),
+    ]
+
+
+def test_start_of_a_resumed_task_names_the_evidence_against_an_earlier_run() -> None:
+    harness = SchedulerHarness(servers=3, cpu_millis=7000)
+    harness.submit("listed", resumed=True, placed={0: "s0"}, deadline_s=60)
+    harness.advance(0.21)
+    harness.submit("elsewhere", resumed=True, deadline_s=60)
+    harness.advance(0.21)
+    harness.accept_all()
+    for run in list(harness.effects.started):
+        harness.end(run)
+    harness.scheduler.server_by_id["s0"].acquired = False
+    harness.submit("waiting", resumed=True, deadline_s=60)
+    harness.advance(1.1)
+    assert [run.after for run in harness.effects.started] == [
+        RunOver.SERVER_LISTED,
+        RunOver.ALL_SERVERS_LISTED,
+        RunOver.EARLIER_LEASES_ENDED,
+    ]
+
+
+def test_end_of_a_run_is_logged_where_another_owner_may_start_its_task() -> None:
+    """Guard against runs without an end in the logs after a holder was lost."""
+    harness = SchedulerHarness(servers=3, cpu_millis=7000)
+    cancelled = harness.submit("cancelled")
+    harness.submit("lost", holder="gone")
+    harness.submit("done")
+    harness.accept_all()
+    harness.scheduler.cancel(cancelled.key, harness.now)
+    harness.scheduler.drop_holder("gone", harness.now)
+    for run, kind in zip(
+        list(harness.effects.started),
+        (EndKind.STOPPED, EndKind.STOPPED, EndKind.DONE),
+        strict=True,
+    ):
+        harness.end(run, kind)
+    ended = harness.effects.fields_by_event["run-ended"]
+    assert [(fields["task"], fields["how"]) for fields in ended] == [("lost.0.0.0", "STOPPED")]
+
+
+def test_completion_of_a_resumed_task_is_logged() -> None:
+    harness = SchedulerHarness(servers=1)
+    report = ServerReport(1, runs=(RunListing("job.0.0.0", 1, 10),))
+    harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
+    harness.submit("job", resumed=True, placed={0: "s0"})
+    harness.end(harness.scheduler.run_by_task["job.0.0.0"])
+    [ended] = harness.effects.fields_by_event["run-ended"]
+    assert ended["how"] == "DONE"
