Compare the clocks of processes by the lines of all jobs in explain

What users saw: the runs of a request with two owners could stand in the wrong order, with an owner's clock off by the 1.3 s after which a client resubmits. Cause: an owner that saw only the second attempt, or a holder that was killed before it logged the end, was compared with the wrong attempt, as only the lines of the one request were used. Change: owners log the holder (work-refused too), so each decision is matched with the end of the same job at that holder; the differences of all jobs give the offsets. Logs without the holder are read as before. Lines of dropped holders, handed-over and moved work items, and a raised number of shards are context. Result: the new test joins two owners, two shards, a killed holder and a restarted server; it fails without the joint estimate.

--- a/packages/cli/src/redwingport_cli/commands/explain.py
+++ b/packages/cli/src/redwingport_cli/commands/explain.py
@@ -6,8 +6,9 @@
 from redwingport_cli.commands.base import CommandHelp, Context
 from redwingport_cli.exceptions import InvalidFileError
 from redwingport_cli.exit_codes import ExitCode
-from redwingport_cli.explaining import Timeline, explain, read_lines
+from redwingport_cli.explaining import Timeline, explain
 from redwingport_cli.files import STANDARD_STREAM, read_input
+from redwingport_cli.log_lines import read_lines
 from redwingport_cli.rendering import OutputFormat, print_json, printable
 
 
--- a/packages/cli/src/redwingport_cli/explaining.py
+++ b/packages/cli/src/redwingport_cli/explaining.py
@@ -3,15 +3,17 @@
 The VMs' clocks differ. The owner of the backend servers logs with each decision how long ago the
 request arrived, and the process that held the request (its holder) logs how long it took. Both
 give the time of arrival, each on its own clock, so their difference is the offset between the two
-clocks.
+clocks. Where owners log the holder of a request, the lines of all requests are compared, because a
+holder that has ended did not log the end of this one.
 """
 
-import datetime
-import json
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from redwingport_cli.clocks import END_EVENTS, estimate_clock_offsets
+from redwingport_cli.log_lines import LogLine
+
 # How long before the arrival of the request lines about owners and servers are still shown: a
 # lost process is replaced within a second.
 CONTEXT_BEFORE_S = 1.0
@@ -21,32 +23,21 @@
 # client's next attempt comes later.
 SAME_ATTEMPT_S = 0.1
 
-END_EVENTS = ("job-ended", "job-rejected")
-OWNER_EVENTS = ("owner-changed", "owner-challenged", "owner-failed", "peer-lost", "drain-started")
+OWNER_EVENTS = (
+    "owner-changed",
+    "owner-challenged",
+    "owner-failed",
+    "peer-lost",
+    "drain-started",
+    "holder-dropped",
+    "works-handed-over",
+    "works-moved",
+    "shards-raised",
+)
 STORE_EVENTS = ("store-lost", "store-regained", "configuration-in-force")
 HIDDEN_FIELDS = ("time", "level", "event")
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """Hold one line of a log.
-
-    :param source: log file, followed by the last word of the line's prefix if it has one; it
-        stands for one process.
-    :param at: Unix time on the clock of the VM that wrote the line, in seconds.
-    :param fields: JSON members of the line.
-    """
-
-    source: str
-    at: float
-    fields: Mapping[str, Any]
-
-    @property
-    def event(self) -> str:
-        """Return the name of the event."""
-        return str(self.fields.get("event", ""))
-
-
 @dataclass(frozen=True, slots=True)
 class TimelineEntry:
     """Hold one event of a timeline.
@@ -82,28 +73,6 @@
     skipped_count: int
 
 
-def read_lines(name: str, text: str) -> Iterator[LogLine | None]:
-    """Parse a log; yield None for each line that cannot be parsed.
-
-    A prefix before the JSON object, as log collectors add it, tells processes apart: its last
-    word becomes part of the source.
-    """
-    for line in text.splitlines():
-        if line.strip():
-            yield _read_line(name, line)
-
-
-def _read_line(name: str, line: str) -> LogLine | None:
-    before, brace, rest = line.partition("{")
-    try:
-        fields = json.loads(brace + rest)
-        at = datetime.datetime.fromisoformat(fields["time"]).timestamp()
-    except (ValueError, KeyError, TypeError):
-        return None
-    words = before.split()
-    return LogLine(f"{name}:{words[-1]}" if words else name, at, fields)
-
-
 def explain(request_id: str, lines: Iterable[LogLine | None]) -> Timeline:
     """Build the timeline of a request.
 
@@ -121,7 +90,7 @@
     request_lines = [line for line in parsed if _names_request(line, request_id)]
     if not request_lines:
         return Timeline((), {}, skipped)
-    offset_s_by_source = _estimate_clock_offsets(request_lines)
+    offset_s_by_source = _estimate_clock_offsets(request_lines, parsed)
     corrected = {
         id(line): line.at - (offset_s_by_source[line.source] or 0.0) for line in request_lines
     }
@@ -161,9 +130,26 @@
     return TimelineEntry(after_s, line.source, line.event, fields, concerns_request)
 
 
-def _estimate_clock_offsets(request_lines: list[LogLine]) -> dict[str, float | None]:
+def _estimate_clock_offsets(
+    request_lines: list[LogLine], all_lines: list[LogLine]
+) -> dict[str, float | None]:
     """Return how far each clock is ahead of that of the first holder of the request, in seconds.
 
+    The offset is None for a process that cannot be compared.
+    """
+    offsets = _match_attempts(request_lines)
+    reference = next((source for source, ahead_s in offsets.items() if ahead_s == 0.0), None)
+    ahead_s_by_source = estimate_clock_offsets(all_lines, reference or request_lines[0].source)
+    if len(ahead_s_by_source) > 1:
+        offsets.update(
+            (source, ahead_s) for source, ahead_s in ahead_s_by_source.items() if source in offsets
+        )
+    return offsets
+
+
+def _match_attempts(request_lines: list[LogLine]) -> dict[str, float | None]:
+    """Return the offsets of the clocks as far as the lines of the request show them.
+
     The first holder is the one with the earliest arrival on its own clock. The earliest attempt
     that an owner logged is matched with it, the next one with the holder that comes next in the
     logs, and so on. The offset is None for a process that cannot be matched.
--- a/packages/cli/tests/test_explaining.py
+++ b/packages/cli/tests/test_explaining.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from redwingport_cli.explaining import Timeline, explain, read_lines
+from redwingport_cli.explaining import Timeline, explain
+from redwingport_cli.log_lines import read_lines
 from redwingport_cli.main import main
 
 JOB = "8e401726a8379340"
@@ -119,3 +120,66 @@
     log.write_text("not a log line\n")
     assert main(["explain", JOB, str(log)]) == 6
     assert "1 lines are not log lines" in capsys.readouterr().err
+
+
+def test_runs_of_two_owners_in_two_shards_are_joined_on_one_clock() -> None:
+    """Guard against owners that are compared with the wrong attempt of a request.
+
+    The first holder was killed, so it has not logged the end; the client resubmitted the request
+    1.3 s later to a second holder, whose owner in another shard saw the second attempt only. The
+    clocks of the owners are 5 s and 7 s ahead. The first server restarts meanwhile.
+    """
+    timeline = timeline_of(
+        {
+            "killed.log": [
+                line(-9, "started", incarnation="h1"),
+                line(-1, "job-ended", job=OTHER_JOB, took_s=1),
+            ],
+            "second.log": [
+                line(-9, "started", incarnation="h2"),
+                line(-1, "job-ended", job="2" * 16, took_s=1),
+                line(2.3, "job-ended", job=JOB, took_s=1, outcome="complete"),
+            ],
+            "owner-a.log": [
+                line(3, "task-placed", job=OTHER_JOB, waited_s=0, holder="h1", shard=0),
+                line(3, "task-placed", job="2" * 16, waited_s=0, holder="h2", shard=0),
+                line(
+                    5.01,
+                    "task-placed",
+                    job=JOB,
+                    task=f"{JOB}.0.0.0",
+                    run=1,
+                    waited_s=0.01,
+                    holder="h1",
+                    shard=0,
+                    server="s1",
+                ),
+                line(5.5, "server-restarted", server="s1", born_ms=2, was_born_ms=1),
+                line(5.6, "holder-dropped", holder="h1", works=1, unheard_s=0.5, shard=0),
+            ],
+            "owner-b.log": [
+                line(
+                    8.31,
+                    "task-placed",
+                    job=JOB,
+                    task=f"{JOB}.0.0.0",
+                    run=1,
+                    waited_s=0.01,
+                    holder="h2",
+                    shard=1,
+                    server="s2",
+                ),
+                line(5, "task-placed", job="2" * 16, waited_s=0, holder="h2", shard=1),
+            ],
+        }
+    )
+    shown = [(item.event, round(item.after_s, 3)) for item in timeline.lines]
+    assert shown == [
+        ("task-placed", 0.0),
+        ("server-restarted", 0.49),
+        ("holder-dropped", 0.59),
+        ("task-placed", 1.3),
+        ("job-ended", 2.29),
+    ]
+    ahead = timeline.clock_offset_s_by_source
+    assert ahead["owner-b.log"] == pytest.approx(7.0)
--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -192,6 +192,7 @@
         "a work item was refused before any of its tasks started",
         (
             "job",
+            "holder",
             "tasks",
             "reason",
             "retry_after_s",
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -257,6 +257,7 @@
         self.log_decision(
             "work-refused",
             job=work.job_id,
+            holder=work.holder,
             tasks=len(work.task_by_index),
             reason=reason,
             retry_after_s=retry_after_s,
