Add the command overlaps, which lists tasks with two runs at a time

Cause: to find a task that ran twice one had to know its request; no command searched the logs. Change: overlaps reads the logs of all processes, collects each task's runs with owner, term, shard, server and holder, takes the earliest time by which a line shows that a run was over, and compares each two runs: overlap, possible or apart. Tasks placed by two owners or in two shards come first.

--- a/packages/cli/src/redwingport_cli/commands/__init__.py
+++ b/packages/cli/src/redwingport_cli/commands/__init__.py
@@ -7,6 +7,7 @@
 from redwingport_cli.commands.entries import Entries
 from redwingport_cli.commands.explain import Explain
 from redwingport_cli.commands.jobs import JOBS
+from redwingport_cli.commands.overlaps import Overlaps
 from redwingport_cli.commands.request import SendRequest
 from redwingport_cli.commands.servers import Servers
 from redwingport_cli.commands.services import SERVICES
@@ -25,6 +26,7 @@
     Entries(),
     Drain(),
     Explain(),
+    Overlaps(),
     CheckSettings(),
     SettingsReference(),
 )
