Mark tasks that were started again after their completion in overlaps

Cause: on the logs of a site whose owner was killed, overlaps showed two tasks that the new owner started again 33 ms after it had read that their first runs were done; runs that follow each other were not pointed out, and were not listed for one owner. Change: a task with a run after a completed one is listed and marked, and counted in the last line.

--- a/packages/cli/src/redwingport_cli/commands/overlaps.py
+++ b/packages/cli/src/redwingport_cli/commands/overlaps.py
@@ -65,6 +65,7 @@
             {
                 "task": item.task,
                 "candidate": item.is_candidate,
+                "repeated": item.is_repeated,
                 "verdict": item.verdict,
                 "runs": [_run_as_json(run) for run in item.runs],
                 "pairs": [
@@ -115,9 +116,10 @@
     counts = ", ".join(
         f"{sum(item.verdict is verdict for item in report.tasks)} {verdict}" for verdict in Verdict
     )
+    repeated = sum(item.is_repeated for item in report.tasks)
     print(
-        f"{report.placed_count} tasks placed; {candidates} by two owners or in two shards; "
-        f"listed: {counts}"
+        f"{report.placed_count} tasks placed; {candidates} by two owners or in two shards, "
+        f"{repeated} again after their completion; listed: {counts}"
     )
     for source in report.uncompared_sources:
         print(printable(f"clock of {source}: offset not known, not corrected"))
@@ -129,6 +131,8 @@
     first_at = item.runs[0].started_at
     at = datetime.datetime.fromtimestamp(first_at, datetime.UTC).isoformat("T", "milliseconds")
     mark = "  two owners or shards" if item.is_candidate else ""
+    if item.is_repeated:
+        mark += "  started again after its completion"
     print(printable(f"{item.task}  {item.verdict}  {at}{mark}"))
     for run in item.runs:
         print(printable(f"    {_describe_run(run, first_at)}"))
--- a/packages/cli/src/redwingport_cli/overlapping.py
+++ b/packages/cli/src/redwingport_cli/overlapping.py
@@ -22,6 +22,7 @@
 END_EVENTS = ("run-ended", "run-vanished")
 # A run whose lease has ended was over when its server reported it, but often long before.
 LAPSED = "LAPSED"
+DONE = "DONE"
 PRESUMED_OVER_EVENT = "run-presumed-over"
 START_FAILED_EVENT = "start-failed"
 # A start that fails in this way may still have started a run.
@@ -63,6 +64,7 @@
     :param reported_at: time at which its server reported its end, in seconds; None if the logs
         do not show it.
     :param end_evidence: event behind ``ended_at``, with its cause; empty if there is none.
+    :param completed: whether the logs show that the run has completed its task.
     :param never_started: whether the server has rejected the start order.
     :param clock_known: whether the clock of the source could be compared.
     """
@@ -81,6 +83,7 @@
     ended_at: float | None = None
     reported_at: float | None = None
     end_evidence: str = ""
+    completed: bool = False
     never_started: bool = False
     clock_known: bool = True
 
@@ -140,6 +143,14 @@
         """Return the most severe relation."""
         return min((pair.verdict for pair in self.pairs), key=list(Verdict).index)
 
+    @property
+    def is_repeated(self) -> bool:
+        """Return whether the task was started again after a run that has completed it."""
+        return any(
+            run.completed and not later.never_started
+            for run, later in itertools.combinations(self.runs, 2)
+        )
+
     @property
     def max_overlap_s(self) -> float:
         """Return the longest known overlap, in seconds; negative if all known runs are apart."""
@@ -150,8 +161,8 @@
 class OverlapReport:
     """Hold the result of a search.
 
-    :param tasks: candidates first, then the other tasks whose runs may have overlapped; each part
-        by severity.
+    :param tasks: candidates first, then the other tasks whose runs may have overlapped or that
+        were started again after their completion; each part by severity.
     :param placed_count: number of tasks with a placement in the logs.
     :param skipped_count: number of log lines that could not be parsed.
     :param uncompared_sources: sources of runs whose clocks could not be compared.
@@ -239,13 +250,15 @@
         for run in runs:
             _find_end(task, run, task_lines, records, clocks)
         overlap = _compare_runs(task, runs)
-        if overlap.is_candidate or overlap.verdict is not Verdict.APART:
+        is_listed = overlap.is_candidate or overlap.is_repeated
+        if is_listed or overlap.verdict is not Verdict.APART:
             tasks.append(overlap)
             uncompared.update(run.source for run in runs if not run.clock_known)
     tasks.sort(
         key=lambda item: (
             not item.is_candidate,
             list(Verdict).index(item.verdict),
+            not item.is_repeated,
             -item.max_overlap_s,
         )
     )
@@ -313,6 +326,7 @@
         if line.event in END_EVENTS:
             reported = line.fields.get("how") != LAPSED
             run.note_end(at, _describe(line, "how"), reported)
+            run.completed |= line.fields.get("how") == DONE
         elif line.event == PRESUMED_OVER_EVENT:
             run.note_end(at, _describe(line, "after"))
         elif line.event == START_FAILED_EVENT and line.fields.get("failure") != NO_ANSWER:
@@ -328,6 +342,7 @@
         for done in line.fields.get("done", ()):
             if tuple(done[:3]) == (step_and_index, run.number, run.server):
                 run.note_end(at - float(done[3]), f"{JOB_END_EVENT} done")
+                run.completed = True
         incarnations = records.incarnations_by_source.get(line.source, set())
         if at >= earliest_at and run.holder in incarnations:
             run.note_end(at, JOB_END_EVENT)
--- a/packages/cli/tests/test_overlapping.py
+++ b/packages/cli/tests/test_overlapping.py
@@ -207,7 +207,7 @@
     shown = capsys.readouterr().out
     assert "owner=first" in shown
     assert "runs 1 and 2: overlap, 200 ms overlap at most" in shown
-    assert "1 tasks placed; 1 by two owners or in two shards" in shown
+    assert "1 tasks placed; 1 by two owners or in two shards, 0 again" in shown
     assert main(["overlaps", str(log), "--output", "json"]) == 0
     [task] = json.loads(capsys.readouterr().out)["tasks"]
     assert task["pairs"][0]["gapMs"] == -200
@@ -220,3 +220,17 @@
     log.write_text("not a log line\n")
     assert main(["overlaps", str(log)]) == 6
     assert "1 lines are not log lines" in capsys.readouterr().err
+
+
+def test_task_that_is_started_again_after_its_completion_is_listed() -> None:
+    """Guard against a second run that goes unnoticed because the first one was over."""
+    item = only_task(
+        {
+            "all.log": [
+                placed(0.0, 1, "s1", term=1, shard=0),
+                ended(0.5, 1, "s1", "DONE"),
+                placed(0.6, 2, "s1", term=1, shard=0, resumed=True, after="server-listed"),
+            ]
+        }
+    )
+    assert (item.is_candidate, item.is_repeated, item.verdict) == (False, True, Verdict.APART)
