Say in the help of overlaps that repeated tasks are listed

Cause: the help named only tasks whose runs may have overlapped. Change: its description names tasks that were started again after their completion.

--- a/packages/cli/src/redwingport_cli/commands/overlaps.py
+++ b/packages/cli/src/redwingport_cli/commands/overlaps.py
@@ -28,10 +28,10 @@
     help = CommandHelp(
         "list tasks that may have had two runs at a time, from logs",
         "Read the JSON logs of all processes and list the tasks that were placed by two owners or "
-        "in two shards, then the other tasks whose runs overlapped or may have overlapped. The "
-        "end of a run is the earliest time by which a line shows that it was over. Differences "
-        "between the VMs' clocks are corrected where the lines show them. Nothing is sent "
-        "anywhere.",
+        "in two shards, then the other tasks whose runs overlapped or may have overlapped, or "
+        "that were started again after a run had completed them. The end of a run is the earliest "
+        "time by which a line shows that it was over. Differences between the VMs' clocks are "
+        "corrected where the lines show them. Nothing is sent anywhere.",
         "redwingport overlaps entry-*.log",
         (ExitCode.DONE, ExitCode.USAGE, ExitCode.INVALID),
     )
