Order runs of one millisecond by their numbers in overlaps

What users saw: a run whose placement was lost with its owner, reported done in the millisecond in which the next run was ordered, was listed after that run, as a possible overlap of 199 ms. Cause: runs were sorted by the time of their first line only. Change: of runs with one time, those without a placement come first, then the lower number.

--- a/packages/cli/src/redwingport_cli/overlapping.py
+++ b/packages/cli/src/redwingport_cli/overlapping.py
@@ -278,7 +278,8 @@
     for line in sorted(others, key=clocks.time_of):
         if not any(_concerns(line, run) for run in runs):
             runs.append(_build_run(line, records, clocks))
-    return sorted(runs, key=lambda run: run.started_at)
+    # Times have a resolution of a millisecond, and a run without a placement started earlier.
+    return sorted(runs, key=lambda run: (run.started_at, run.start_logged, run.number))
 
 
 def _build_run(line: LogLine, records: _Records, clocks: _Clocks) -> TaskRun:
--- a/packages/cli/tests/test_overlapping.py
+++ b/packages/cli/tests/test_overlapping.py
@@ -234,3 +234,21 @@
         }
     )
     assert (item.is_candidate, item.is_repeated, item.verdict) == (False, True, Verdict.APART)
+
+
+def test_run_that_ended_in_the_millisecond_of_the_next_order_is_apart() -> None:
+    """Guard against an overlap of runs that are listed in the wrong order.
+
+    The placement of the first run is lost with its owner.
+    """
+    item = only_task(
+        {
+            "all.log": [
+                ended(0.0, 1, "s1", "DONE"),
+                placed(0.0, 2, "s1", term=2, shard=0, resumed=True, after="server-listed"),
+                ended(0.2, 2, "s1", "DONE"),
+            ]
+        }
+    )
+    assert [run.number for run in item.runs] == [1, 2]
+    assert item.verdict is Verdict.APART
