Count the reported end of an earlier run for a task that waits here

What callers saw: tasks that had completed were run once more after a change of owner (a second run after the end, not beside it). Cause: when a work item was handed over before the first report of the server on which its task had ended, no run was known, so the end was noted as that of an unknown run, and the task was started as soon as all servers had reported. Only the other order was handled. Change: the end completes the waiting task.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -583,13 +583,20 @@
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before this report.
         server.lease_ends_at = max(server.lease_ends_at, now + self._longest_lease_s())
+        waiting = self._find_waiting_task(task_name)
+        if waiting is not None:
+            work, task = waiting
+            self._adopt_run(run, work, task)
+            if not work.queued_tasks():
+                self.queue.remove(work)
+
+    def _find_waiting_task(self, task_name: str) -> tuple[Work, Task] | None:
+        """Return a task without a run and its work item, or None if there is no such task."""
         for work in self.work_by_key.values():
             task = work.find_task(task_name)
             if task is not None and task.state in (TaskState.QUEUED, TaskState.BLOCKED):
-                self._adopt_run(run, work, task)
-                if not work.queued_tasks():
-                    self.queue.remove(work)
-                return
+                return work, task
+        return None
 
     def _adopt_run(self, run: Run, work: Work, task: Task) -> None:
         task.next_run = max(task.next_run, run.number + 1)
@@ -611,7 +618,11 @@
         self._history.note_started(job_id_of(end.task), now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
-            self._history.note_unclaimed_end(end, now)
+            waiting = self._find_waiting_task(end.task)
+            if run is None and waiting is not None:
+                self._handle_end_of_earlier_run(*waiting, server, end, now)
+            else:
+                self._history.note_unclaimed_end(end, now)
             return
         self._forget_run(run, RunOver.END_REPORTED)
         work = run.work
@@ -637,6 +648,20 @@
         self._log_end(server, end)
         self._requeue(run, now)
 
+    def _handle_end_of_earlier_run(
+        self, work: Work, task: Task, server: ServerState, end: RunEnd, now: float
+    ) -> None:
+        """Handle the end of a run of a waiting task that an earlier owner ordered."""
+        task.next_run = max(task.next_run, end.number + 1)
+        if end.kind is not EndKind.DONE:
+            return
+        task.state = TaskState.DONE
+        if not work.queued_tasks():
+            self.queue.remove(work)
+        self._effects.report_done(work, task, end.number, server.listing.server_id)
+        if work.is_done():
+            self._finish(work, now)
+
     def _log_end(self, server: ServerState, end: RunEnd) -> None:
         self._effects.log_decision(
             "run-ended",
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -3,7 +3,7 @@
 from scheduling_fakes import SchedulerHarness
 
 from redwingport_dispatch.exceptions import OrderFailure
-from redwingport_dispatch.interfaces import EndKind, RunListing, ServerReport
+from redwingport_dispatch.interfaces import EndKind, RunEnd, RunListing, ServerReport
 from redwingport_dispatch.scheduling.work import RunOver, RunState
 
 
@@ -129,6 +129,17 @@
     assert harness.effects.done == [("job", 0)]
 
 
+# Guards against a second run of a task that is done: its end was reported after its work item had
+# been handed over, and counted as the end of an unknown run.
+def test_end_reported_after_the_work_item_was_resubmitted_completes_its_task() -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.scheduler.server_by_id["s0"].acquired = False
+    harness.submit("job", tasks=2, resumed=True, placed={0: "s0", 1: "s0"}, unheard_s=0.8)
+    harness.report("s0", [RunEnd(1, "job.0.0.0", 1, EndKind.DONE)])
+    assert harness.effects.done == [("job", 0)]
+    assert [run.task_name for run in harness.effects.started] == ["job.0.0.1"]
+
+
 def test_new_owner_stops_unclaimed_runs() -> None:
     """Runs of a holder that has died would keep their server from getting new tasks.
 
