Simulate random mixes of faults in clusters

Callers saw tasks run twice in large systems, and the four directed tests of the simulated cluster cover only a cut between a holder and an owner.

Clients now give up after their timeout, and half of the refused ones try again.

--- a/packages/dispatch/tests/simulated_cluster.py
+++ b/packages/dispatch/tests/simulated_cluster.py
@@ -46,10 +46,12 @@
 TASK_CPU_MILLIS = 8000
 TIMEOUT_S = 1.55
 RESUBMIT_S = 1.3
+RETRY_AFTER_S = 1.0
+RETRY_SHARE = 0.5
 STORE_TIMEOUT_S = 1.0
 ANSWER_DELAY_S = 0.0004
 LONG_FACTOR = 1.6 / 0.9
-ROUTE = Route("queue", "host", "/q/", SERVICE, 0, 3, 1.6, 0.06, TIMEOUT_S)
+ROUTE = Route("queue", "host", "/q/", SERVICE, 0, 3, 1.6, 0.06, 0.0)
 CONFIGURATION = Configuration(1, (ROUTE,), 1 << 20, b"")
 RECORDED_EVENTS = 200_000
 
@@ -170,7 +172,13 @@
 
 
 class SimulatedFormat:
-    """Job format whose bodies are names of kinds of jobs; see :class:`JobFormat`."""
+    """Job format whose bodies are names of kinds of jobs; see :class:`JobFormat`.
+
+    :param timeout_s: time that a client waits for an answer, in seconds.
+    """
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
 
     def decode_job(self, body: bytes) -> Result[JobRequest, str]:
         kind = next(kind for kind in KINDS if kind.name == body.decode())
@@ -184,7 +192,7 @@
         return b"%d" % count
 
     def client_timeout_s(self, headers: Sequence[tuple[bytes, bytes]]) -> float | None:
-        return TIMEOUT_S
+        return self._timeout_s
 
 
 class _NoServer:
@@ -268,6 +276,7 @@
     :param servers: number of backend servers.
     :param shards: number of shards at the start.
     :param servers_per_shard: number of servers above which a shard is added.
+    :param timeout_s: time that clients wait for an answer, in seconds.
     """
 
     def __init__(
@@ -277,6 +286,7 @@
         servers: int = 24,
         shards: int = 3,
         servers_per_shard: int = 8,
+        timeout_s: float = TIMEOUT_S,
     ) -> None:
         self.world = World(seed)
         self.random = random.Random(f"cluster {seed}")
@@ -291,6 +301,7 @@
         self._loops: list[Node] = []
         self._next_job = 0
         self._servers_per_shard = servers_per_shard
+        self._timeout_s = timeout_s
         self.store = StoreState(Node("store", self.domains[-1]), shard_count=shards)
         for _ in range(servers):
             self.add_server()
@@ -385,7 +396,7 @@
         platform = types.SimpleNamespace(
             store=SimulatedStore(self.world, node, self.store),
             server_clients=ModelServerClients(self.world, node, self._server_by_address),
-            formats=SimulatedFormat(),
+            formats=SimulatedFormat(self._timeout_s),
         )
         async with anyio.create_task_group() as task_group:
             entry.process = _Process(settings, task_group, lambda group, given: platform)
@@ -473,13 +484,18 @@
 
     # Servers
 
-    def add_server(self, domain: str = "") -> ModelServer:
+    def add_server(self, domain: str = "", cpu_millis: int = 16000) -> ModelServer:
         """Add a server to the network and to the list."""
         number = len(self.server_by_id)
         server_id = f"s{number}"
         node = Node(f"10.8.0.{number}:1", domain or self.domains[number % len(self.domains)])
         server = ModelServer(
-            self.world, node, self.monitor, self._duration_of, lambda spec: TASK_CPU_MILLIS
+            self.world,
+            node,
+            self.monitor,
+            self._duration_of,
+            lambda spec: TASK_CPU_MILLIS,
+            cpu_millis,
         )
         server.node.name = server_id
         address = f"10.8.0.{number}:1"
@@ -515,10 +531,36 @@
 
         self.world.call_later(duration_s, leave)
 
+    def restart_server(self, server_id: str, duration_s: float) -> None:
+        """Crash a server, and start its next lifetime some seconds later."""
+        listing = self.store.listing_by_id.get(server_id)
+        server = self.server_by_id[server_id]
+        if listing is None or not server.node.is_up:
+            return
+        server.crash()
+        server.node.refuses = True
+        self.store.remove(server_id)
+
+        def start() -> None:
+            server.node.is_up = True
+            server.start_lifetime()
+            self.store.put(replace(listing, born_ms=server.born_ms))
+
+        self.world.call_later(duration_s, start)
+
     def cut_server(self, server_id: str, duration_s: float) -> None:
         """Cut all paths to and from a server."""
         self.world.cut({(server_id, "*"), ("*", server_id)}, duration_s)
 
+    def cut_pairs(
+        self, names: Sequence[str], others: Sequence[str], duration_s: float, both: bool = True
+    ) -> None:
+        """Cut the paths from each node of one group to each of another, or both directions."""
+        paths = {(name, other) for name in names for other in others}
+        if both:
+            paths |= {(other, name) for name, other in paths}
+        self.world.cut(paths, duration_s)
+
     def _duration_of(self, spec: str) -> float:
         kind = next(kind for kind in KINDS if kind.name == spec)
         return kind.estimate_s * self.world.random.uniform(*kind.factors)
@@ -579,12 +621,25 @@
                 task.add_done_callback(entry.calls.discard)
 
         self.world.call_later(self.world.delay_s(entry.node, entry.node), arrive)
+        self.world.call_later(self._timeout_s, lambda: self._give_up(attempt))
+
+    def _give_up(self, attempt: Attempt) -> None:
+        """Close the connection of a client that has got no answer in time."""
+        if attempt not in attempt.entry.attempts:
+            return
+        attempt.entry.attempts.remove(attempt)
+        if attempt.disconnected is not None and not attempt.disconnected.done():
+            attempt.disconnected.set_result(None)
+        self._resubmit_later(attempt)
 
     async def _call(self, attempt: Attempt) -> None:
         process = attempt.entry.process
         assert process is not None and process.front is not None
         loop = asyncio.get_running_loop()
         attempt.disconnected = loop.create_future()
+        if attempt not in attempt.entry.attempts:
+            # The client has given up while the process was frozen.
+            attempt.disconnected.set_result(None)
         messages = [{"type": "http.request", "body": attempt.kind.name.encode()}]
 
         async def receive() -> dict[str, object]:
@@ -615,11 +670,13 @@
         attempt.status = status
         if status in (502, 504):
             self._resubmit_later(attempt)
+        elif status in (429, 503) and self.random.random() < RETRY_SHARE:
+            self._resubmit_later(attempt, RETRY_AFTER_S)
 
-    def _resubmit_later(self, attempt: Attempt) -> None:
+    def _resubmit_later(self, attempt: Attempt, after_s: float = RESUBMIT_S) -> None:
         if attempt.number < 3 and not self.world.is_over:
             self.world.call_later(
-                RESUBMIT_S,
+                after_s,
                 lambda: self._send(
                     attempt.job_id, attempt.kind, attempt.domain, attempt.number + 1
                 ),
@@ -629,7 +686,7 @@
 
     def explain(self, job_id: str) -> str:
         """Return the recorded events of a job, and those that concern owners, as text."""
-        names = {"holder-dropped", "shards-raised", "drain-started", "owner-challenged"}
+        names = {"holder-dropped", "shards-raised", "drain-started", "owner-challenged", "fault"}
         lines = [
             f"attempt {a.number} at {a.sent_at:.3f} through {a.entry.node.name}: {a.status}"
             for a in self.attempts
@@ -646,8 +703,22 @@
                 lines.append(f"{at:.3f} {node} {event} {text}")
         return "\n".join(lines)
 
+    def started_refusals(self) -> list[str]:
+        """Return the jobs that have started although all their attempts were refused."""
+        statuses_by_job: dict[str, set[int]] = {}
+        for attempt in self.attempts:
+            statuses_by_job.setdefault(attempt.job_id, set()).add(attempt.status)
+        return [
+            job_id
+            for job_id, statuses in statuses_by_job.items()
+            if statuses <= {429, 503} and job_id in self.monitor.started_jobs
+        ]
+
     def failure(self) -> str:
         """Return all violations as text, and the events of the first."""
+        refused = self.started_refusals()
+        if refused:
+            return f"{len(refused)} refused jobs were started\n{self.explain(refused[0])}"
         if not self.monitor.double_runs:
             return ""
         first = self.monitor.double_runs[0]
--- /dev/null
+++ b/packages/dispatch/tests/simulated_faults.py
@@ -0,0 +1,198 @@
+"""Random mixes of faults for simulated clusters."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from simulated_cluster import Cluster, Entry
+
+KILL_DOWN_S = (0.3, 2.5)
+FAULT_S = (0.3, 3.0)
+RESTART_POLL_S = 0.5
+
+Fault = Callable[["FaultMix"], str]
+
+
+class FaultMix:
+    """Inject random faults into a cluster.
+
+    :param cluster: the cluster.
+    :param seed: seed of all choices.
+    """
+
+    def __init__(self, cluster: Cluster, seed: int) -> None:
+        self._cluster = cluster
+        self._random = random.Random(f"faults {seed}")
+
+    def schedule(self, count: int, duration_s: float) -> None:
+        """Inject a number of faults at random times of the next seconds."""
+        chosen = self._random.sample(FAULTS, min(len(FAULTS), 4))
+        for _ in range(count):
+            fault = self._random.choice(chosen)
+            self._cluster.world.call_later(
+                self._random.uniform(0, duration_s), lambda fault=fault: self._inject(fault)
+            )
+
+    def _inject(self, fault: Fault) -> None:
+        text = fault(self)
+        fields: dict[str, object] = {"fault": fault.__name__, "on": text}
+        self._cluster.events.append((self._cluster.world.now, "world", "fault", fields))
+
+    def _duration_s(self) -> float:
+        return self._random.uniform(*FAULT_S)
+
+    def _entry(self) -> Entry:
+        """Return a process, every second time an owner."""
+        owners = [entry for entries in self._cluster.owners().values() for entry in entries]
+        if owners and self._random.random() < 0.5:
+            return self._random.choice(owners)
+        return self._random.choice(self._cluster.entries)
+
+    def _server(self) -> str:
+        return self._random.choice(sorted(self._cluster.store.listing_by_id) or ["s0"])
+
+    def _some(self, names: Sequence[str], share: float) -> list[str]:
+        return self._random.sample(list(names), max(1, round(share * len(names))))
+
+    def cut_domain(self) -> str:
+        domain = self._random.choice(self._cluster.domains)
+        mode = self._random.choice(["both", "both", "in", "out"])
+        self._cluster.cut_domain(domain, self._duration_s(), mode)
+        return f"{domain} {mode}"
+
+    def cut_processes(self) -> str:
+        """Cut some processes from some others, which still reach common ones."""
+        names = [entry.node.name for entry in self._cluster.entries]
+        group = self._some(names, self._random.uniform(0.0, 0.4))
+        others = [name for name in names if name not in group]
+        beyond = self._some(others, self._random.uniform(0.1, 0.6))
+        both = self._random.random() < 0.6
+        self._cluster.cut_pairs(group, beyond, self._duration_s(), both)
+        return f"{group} {beyond} {both}"
+
+    def cut_owner_from_process(self) -> str:
+        name, other = self._entry().node.name, self._entry().node.name
+        if name != other:
+            both = self._random.random() < 0.6
+            self._cluster.cut_pairs([name], [other], self._duration_s(), both)
+        return f"{name} {other}"
+
+    def cut_servers_from_processes(self) -> str:
+        names = [entry.node.name for entry in self._cluster.entries]
+        group = self._some(names, self._random.uniform(0.1, 0.6))
+        servers = self._some(sorted(self._cluster.server_by_id), self._random.uniform(0.1, 0.5))
+        both = self._random.random() < 0.6
+        self._cluster.cut_pairs(group, servers, self._duration_s(), both)
+        return f"{group} {servers} {both}"
+
+    def cut_server(self) -> str:
+        server_id = self._server()
+        self._cluster.cut_server(server_id, self._duration_s())
+        return server_id
+
+    def kill(self) -> str:
+        entry, refuses = self._entry(), self._random.random() < 0.5
+        self._cluster.kill(entry, refuses)
+        self._restart_later(entry)
+        return f"{entry.node.name} {refuses}"
+
+    def drain(self) -> str:
+        entry = self._entry()
+        self._cluster.drain(entry)
+        self._restart_later(entry)
+        return entry.node.name
+
+    def _restart_later(self, entry: Entry) -> None:
+        def restart() -> None:
+            if entry.process is not None and entry.process.draining:
+                self._cluster.world.call_later(RESTART_POLL_S, restart)
+            else:
+                self._cluster.start(entry)
+
+        self._cluster.world.call_later(self._random.uniform(*KILL_DOWN_S), restart)
+
+    def freeze(self) -> str:
+        entry = self._entry()
+        self._cluster.freeze(entry, self._duration_s())
+        return entry.node.name
+
+    def slow_loop(self) -> str:
+        entry = self._entry()
+        node, step_s = entry.node, entry.node.step_s
+        node.step_s = self._random.choice([0.002, 0.005])
+        self._cluster.world.call_later(self._duration_s(), lambda: setattr(node, "step_s", 0.0001))
+        return f"{node.name} was {step_s}"
+
+    def jump_clock(self) -> str:
+        entry = self._entry()
+        entry.wall_offset_s = self._random.choice([-5.0, -0.5, 0.5, 5.0])
+        return f"{entry.node.name} {entry.wall_offset_s}"
+
+    def add_servers(self) -> str:
+        count = self._random.randint(3, 9)
+        for _ in range(count):
+            self._cluster.add_server(cpu_millis=self._random.choice([8000, 16000, 32000]))
+        return str(count)
+
+    def drain_servers(self) -> str:
+        server_ids = [self._server() for _ in range(self._random.randint(1, 4))]
+        for server_id in server_ids:
+            self._cluster.drain_server(server_id, self._random.uniform(0.5, 2.0))
+        return str(server_ids)
+
+    def restart_server(self) -> str:
+        server_id = self._server()
+        self._cluster.restart_server(server_id, self._random.uniform(*KILL_DOWN_S))
+        return server_id
+
+    def disturb_orders(self) -> str:
+        server_ids = self._some(sorted(self._cluster.server_by_id), 0.4)
+        late = self._random.random() < 0.5
+        for server_id in server_ids:
+            server = self._cluster.server_by_id[server_id]
+            attribute = "late_share" if late else "loss_share"
+            setattr(server, attribute, self._random.choice([0.05, 0.2]))
+            self._cluster.world.call_later(
+                self._duration_s(),
+                lambda server=server, attribute=attribute: setattr(server, attribute, 0.0),
+            )
+        return f"{server_ids} late={late}"
+
+    def slow_servers(self) -> str:
+        server_ids = self._some(sorted(self._cluster.server_by_id), 0.3)
+        slowness = self._random.choice([2.0, 5.0])
+        for server_id in server_ids:
+            server = self._cluster.server_by_id[server_id]
+            server.slowness = slowness
+            self._cluster.world.call_later(
+                self._duration_s(), lambda server=server: setattr(server, "slowness", 1.0)
+            )
+        return f"{server_ids} {slowness}"
+
+    def burst(self) -> str:
+        jobs_per_s = self._random.choice([40.0, 80.0])
+        self._cluster.load(jobs_per_s, 1.0)
+        return str(jobs_per_s)
+
+
+FAULTS: tuple[Fault, ...] = (
+    FaultMix.cut_domain,
+    FaultMix.cut_domain,
+    FaultMix.cut_processes,
+    FaultMix.cut_processes,
+    FaultMix.cut_owner_from_process,
+    FaultMix.cut_servers_from_processes,
+    FaultMix.cut_server,
+    FaultMix.kill,
+    FaultMix.kill,
+    FaultMix.drain,
+    FaultMix.freeze,
+    FaultMix.freeze,
+    FaultMix.slow_loop,
+    FaultMix.jump_clock,
+    FaultMix.add_servers,
+    FaultMix.drain_servers,
+    FaultMix.restart_server,
+    FaultMix.disturb_orders,
+    FaultMix.slow_servers,
+    FaultMix.burst,
+)
--- a/packages/dispatch/tests/simulated_world.py
+++ b/packages/dispatch/tests/simulated_world.py
@@ -149,6 +149,7 @@
             self.cut_paths
             and {
                 (source.domain, target.domain),
+                (source.name, target.name),
                 (source.name, "*"),
                 ("*", target.name),
             }
@@ -156,7 +157,7 @@
         )
 
     def cut(self, paths: set[tuple[str, str]], duration_s: float) -> None:
-        """Cut paths between domains, or all paths from or to a node, for some seconds."""
+        """Cut paths between domains or nodes, or all paths from or to a node, for some seconds."""
         added = paths - self.cut_paths
         self.cut_paths |= added
         self.call_later(duration_s, lambda: self._heal(added))
@@ -341,14 +342,17 @@
 
     :param double_runs: violations so far.
     :param starts: number of accepted starts.
+    :param started_jobs: ids of the jobs with accepted starts.
     """
 
     double_runs: list[DoubleRun] = field(default_factory=list)
     starts: int = 0
+    started_jobs: set[str] = field(default_factory=set)
     _active_by_task: dict[str, list[tuple[str, ModelRun]]] = field(default_factory=dict)
 
     def note_start(self, server: str, run: ModelRun) -> None:
         self.starts += 1
+        self.started_jobs.add(run.task.partition(".")[0])
         active = self._active_by_task.setdefault(run.task, [])
         for other in active:
             self.double_runs.append(DoubleRun(run.started_at, run.task, other, (server, run)))
