Release a work item at its previous owner when another owner gets it

Callers saw a task run twice while two owners of a shard did not reach each other but their holder reached both.

The holder submits its work items to the owner with the higher term and tells the other one nothing.

Evidence: six processes, one shard; the owner is cut from all others but the holder, and those others from half of the servers.

The holder now sends ReleaseWork to each earlier owner that it reaches, again when a link to it opens, and cancels the work item there when the job ends. The owner drops its queued tasks and leaves the runs unclaimed, so that they get no longer lease; those that no owner has taken over within 0.2 s are stopped before the other owner's wait is over. The end of such a run is still reported to the holder.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -153,6 +153,12 @@
         "a work item is cancelled because its job was submitted again",
         ("job", "holder"),
     ),
+    LogEvent(
+        "work-released",
+        _O,
+        "a work item is given up because its holder has submitted it to another owner",
+        ("job",),
+    ),
     LogEvent(
         "work-not-owned",
         _O,
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -15,6 +15,7 @@
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
+    ReleaseWork,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -32,7 +33,7 @@
 # to all shards.
 MAX_OFFERS_UNDER_LOAD = 2
 
-OwnerMessage = SubmitWork | CancelWork
+OwnerMessage = SubmitWork | CancelWork | ReleaseWork
 
 decisions = logging.getLogger(DECISIONS)
 
@@ -83,6 +84,7 @@
 
     :param submitted_to: incarnation and term of the owner to which it was sent last; empty and 0
         before the first submission and after a refusal.
+    :param earlier_owners: incarnations and terms of earlier owners, which may still have it.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
     """
@@ -92,6 +94,7 @@
     step: int
     task_by_index: dict[int, _HeldTask]
     submitted_to: tuple[str, int] = ("", 0)
+    earlier_owners: set[tuple[str, int]] = field(default_factory=set)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
 
@@ -221,10 +224,15 @@
                 self._submit(work)
 
     def resubmit(self, owner: str) -> None:
-        """Submit all open work items of an owner again, including those it may already have."""
+        """Repeat the messages about open work items that an owner may have missed.
+
+        All its work items are submitted again, including those it may already have, and those
+        that were submitted to another owner since are released again.
+        """
         for work in list(self._work_by_id.values()):
             if self._owner_of(work).owner == owner:
                 self._submit(work)
+            self._release(work, owner)
 
     def _shard_of(self, work: _HeldWork) -> int:
         """Return the first shard in the order of the job that has not refused the work item."""
@@ -338,6 +346,16 @@
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
         if not self._send(shard_owner.owner, message):
             work.submitted_to = before
+        elif before[0] and before != (shard_owner.owner, shard_owner.term):
+            work.earlier_owners.add(before)
+            work.earlier_owners.discard((shard_owner.owner, shard_owner.term))
+            self._release(work, before[0])
+
+    def _release(self, work: _HeldWork, owner: str) -> None:
+        """Tell an earlier owner of a work item, if it is one, that another owner has it now."""
+        for earlier, term in list(work.earlier_owners):
+            if earlier == owner:
+                self._send(owner, ReleaseWork(work.work_id, term))
 
     def _record_placement(self, job: Job) -> None:
         if not job.started:
@@ -396,9 +414,13 @@
         for work in job.work_by_step.values():
             shard_owner = self._owner_of(work)
             self._work_by_id.pop(work.work_id, None)
-            # Also needed after a refusal, as the work item may have been submitted again since.
-            if work.submitted_to[0] and not work.done:
-                self._send(shard_owner.owner, CancelWork(work.work_id))
+            receivers = {owner for owner, _ in work.earlier_owners}
+            # Also needed after a refusal, as the work item may have been submitted again since,
+            # and for a task whose end an earlier owner has reported.
+            if work.submitted_to[0] and (receivers or not work.done):
+                receivers |= {shard_owner.owner, work.submitted_to[0]}
+            for receiver in sorted(receivers):
+                self._send(receiver, CancelWork(work.work_id))
         now = anyio.current_time()
         self._metrics.observe_job(job.route.name, end.outcome, now - job.received_at)
         log_event(
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -16,6 +16,7 @@
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
+    ReleaseWork,
     SubmitWork,
     TaskEvent,
     TaskNews,
@@ -195,6 +196,11 @@
         self.scheduler.cancel((holder, message.work_id), anyio.current_time())
         self._flush_task_events()
 
+    def release(self, holder: str, message: ReleaseWork) -> None:
+        """Give up a work item that its holder has submitted to another owner."""
+        self.scheduler.release((holder, message.work_id), anyio.current_time())
+        self._flush_task_events()
+
     def drop_holder(self, holder: str) -> None:
         """Stop the work items of a holder that is unreachable or has ended."""
         dropped = self.scheduler.drop_holder(holder, anyio.current_time())
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -42,6 +42,7 @@
     ConfigurationAnswer,
     ConfigurationQuery,
     Presence,
+    ReleaseWork,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -404,7 +405,7 @@
     def _handle_message(self, sender: str, message: Frame) -> None:
         if isinstance(message, Presence):
             self._handle_presence(message)
-        elif isinstance(message, SubmitWork | CancelWork):
+        elif isinstance(message, SubmitWork | CancelWork | ReleaseWork):
             self._handle_work(sender, message)
         elif isinstance(message, TaskNews | WorkRefused | WorkAbandoned):
             self.holder.handle_notification(sender, message)
@@ -444,6 +445,11 @@
             for owner in self._owner_by_shard.values():
                 owner.cancel(sender, message)
             return
+        if isinstance(message, ReleaseWork):
+            for owner in self._owner_by_shard.values():
+                if owner.term == message.term:
+                    owner.release(sender, message)
+            return
         responsible = self._owner_by_shard.get(message.shard)
         if responsible is None:
             # The sender submits its work items to the next owner as soon as it knows that owner.
@@ -454,7 +460,7 @@
     def _send_to_owner(self, owner: str, message: OwnerMessage) -> bool:
         if owner != self.incarnation:
             return self._mesh.send(owner, message)
-        owns = isinstance(message, CancelWork) or message.shard in self._owner_by_shard
+        owns = not isinstance(message, SubmitWork) or message.shard in self._owner_by_shard
         self._handle_work(self.incarnation, message)
         return owns
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -186,6 +186,23 @@
             self._drop_work(work, now)
             self.dispatch(now)
 
+    def release(self, key: WorkKey, now: float) -> None:
+        """Give up a work item that its holder has submitted to another owner.
+
+        Its runs become unclaimed: the other owner adopts those on servers that it reaches.
+        """
+        work = self.work_by_key.get(key)
+        if work is None:
+            return
+        self._effects.log_decision("work-released", job=work.job_id)
+        self._forget_work(work)
+        for task in work.task_by_index.values():
+            run = self.run_by_task.get(work.task_name(task.index))
+            if run is not None and run.work is work:
+                run.work, run.released_work = None, work
+                if run.state in (RunState.STARTING, RunState.RUNNING):
+                    run.orphan_until = now + ORPHAN_GRACE_S
+
     def drop_holder(self, holder: str, now: float) -> int:
         """Cancel all work items of a process that has ended.
 
@@ -588,6 +605,7 @@
         task.state = TaskState.ACTIVE
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
+        run.released_work = None
         self.server_by_id[run.server_id].set_run_shape(run, work.shape)
         self._effects.log_decision(
             "run-adopted", job=work.job_id, task=run.task_name, server=run.server_id
@@ -602,6 +620,11 @@
         self._forget_run(run)
         work = run.work
         if work is None:
+            if run.released_work is not None and end.kind is EndKind.DONE:
+                # Acknowledged here, the end is no longer reported to the other owner.
+                released = run.released_work
+                task = released.task_by_index[run.index]
+                self._effects.report_done(released, task, run.number, run.server_id)
             self._history.note_unclaimed_end(end, now)
             return
         task = work.task_by_index[run.index]
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -155,6 +155,8 @@
         in seconds; 0 when no stop was accepted.
     :param orphan_until: monotonic time until which a process may claim an orphaned run, in
         seconds; 0 for a run that is not an orphan.
+    :param released_work: work item that it belonged to until its holder submitted that to another
+        owner; None if there is none.
     """
 
     task_name: str
@@ -171,6 +173,7 @@
     stop_due_at: float = 0.0
     stop_effective_at: float = 0.0
     orphan_until: float = 0.0
+    released_work: Work | None = None
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- /dev/null
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -0,0 +1,41 @@
+"""Changes of owners in clusters: what the previous owner and the next one may do."""
+
+import pytest
+from simulated_cluster import LONG, Cluster, Entry
+
+TINY = (3, 3)
+
+
+def check(cluster: Cluster) -> None:
+    failure = cluster.failure()
+    if failure:
+        pytest.fail(failure, pytrace=False)
+
+
+def owner_and_holder(cluster: Cluster) -> tuple[Entry, Entry, list[Entry]]:
+    """Return the owner of the first shard, the lightest other process, and the remaining ones."""
+    owner = cluster.owners()[0][0]
+    others = [entry for entry in cluster.entries if entry is not owner]
+    holder = min(others, key=lambda entry: (entry.weight, entry.node.name))
+    return owner, holder, [entry for entry in others if entry is not holder]
+
+
+# Guards against a previous owner that goes on with work items that its holder has submitted to
+# another owner, on servers that only the previous owner reaches.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_previous_owner_that_holder_still_reaches_gives_its_works_up(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=8, shards=1, timeout_s=5.0)
+    with cluster.running():
+        owner, holder, others = owner_and_holder(cluster)
+        for server in cluster.server_by_id.values():
+            server.slowness = 3.0
+        for _ in range(5):
+            cluster.submit(LONG, holder.node.domain, holder)
+        cluster.world.run(0.05)
+        names = [entry.node.name for entry in others]
+        servers = [server_id for server_id in cluster.server_by_id if int(server_id[1:]) % 2]
+        cluster.cut_pairs([owner.node.name], names, 4.0)
+        cluster.cut_pairs(names, servers, 4.0)
+        cluster.world.run(5.0)
+    assert cluster.monitor.starts
+    check(cluster)
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -19,6 +19,7 @@
 from redwingport_dispatch.scheduling.admission import TOO_LATE
 from redwingport_messages.dispatch import (
     CancelWork,
+    ReleaseWork,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -119,6 +120,38 @@
     assert (await run_job(make_job(), script)).outcome is Outcome.UNKNOWN
 
 
+async def test_work_item_is_released_at_its_previous_owner() -> None:
+    """Guard against two owners that start the tasks of one work item.
+
+    They do not reach each other, but this holder reaches both.
+    """
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("p", 2)])
+        assert links.sent[-1] == ("o", ReleaseWork(1, 1))
+        holder.resubmit("o")
+        assert links.sent[-1] == ("o", ReleaseWork(1, 1))
+        holder.set_owners([ShardOwner("o", 1)])
+        assert links.sent[-1] == ("p", ReleaseWork(1, 2))
+        holder.resubmit("o")
+        assert isinstance(links.sent[-1][1], SubmitWork)
+
+    await run_job(make_job(), script)
+
+
+async def test_work_item_is_kept_by_its_owner_until_the_next_one_is_reached() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        links.up = False
+        holder.set_owners([ShardOwner("p", 2)])
+        links.up = True
+        holder.resubmit("o")
+        assert not any(isinstance(message, ReleaseWork) for _, message in links.sent)
+        holder.resubmit("p")
+        assert links.sent[-1] == ("o", ReleaseWork(1, 1))
+
+    await run_job(make_job(), script)
+
+
 async def test_refusal_by_owner_ends_job() -> None:
     def script(holder: Holder, links: Links) -> None:
         holder.handle_notification("o", WorkRefused(1, 1, "too late", 7))
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -321,3 +321,46 @@
     harness.end(harness.effects.started[0], EndKind.STOPPED)
     harness.advance(0.05)
     assert [run.number for run in harness.effects.started] == [1, 2]
+
+
+def test_released_work_item_starts_nothing_and_its_unclaimed_runs_are_stopped() -> None:
+    """The holder sees another owner with a higher term, which this one does not reach.
+
+    The other owner adopts or awaits the runs, and starts the queued tasks.
+    """
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    work = harness.submit("job", tasks=2)
+    harness.accept_all()
+    run = harness.effects.started[0]
+    harness.scheduler.release(work.key, harness.now)
+    assert harness.scheduler.server_by_id["s0"].has_unclaimed_runs()
+    harness.advance(0.1)
+    assert not harness.effects.stopped
+    harness.advance(0.15)
+    assert harness.effects.stopped == [run]
+    harness.end(run, EndKind.STOPPED)
+    harness.advance(0.05)
+    assert harness.effects.started == [run]
+
+
+def test_released_work_item_that_comes_back_keeps_its_runs() -> None:
+    harness = SchedulerHarness()
+    work = harness.submit("job")
+    harness.accept_all()
+    run = harness.effects.started[0]
+    harness.scheduler.release(work.key, harness.now)
+    harness.submit("job", resumed=True, placed={0: run.server_id})
+    harness.advance(0.25)
+    assert not harness.effects.stopped
+    harness.end(run)
+    assert harness.effects.done == [("job", 0)]
+
+
+def test_end_of_released_run_is_reported_to_its_holder() -> None:
+    """The end is acknowledged to the server, so the other owner may never see it."""
+    harness = SchedulerHarness()
+    work = harness.submit("job")
+    harness.accept_all()
+    harness.scheduler.release(work.key, harness.now)
+    harness.end(harness.effects.started[0])
+    assert harness.effects.done == [("job", 0)]
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -113,6 +113,20 @@
     work_id: Count
 
 
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class ReleaseWork:
+    """Tell the previous owner of a work item that it was submitted to another owner.
+
+    The previous owner starts nothing more of it, and leaves its runs to the other owner.
+
+    :param work_id: number of the work item at the sender.
+    :param term: term of the previous owner.
+    """
+
+    work_id: Count
+    term: Count
+
+
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class TaskNews:
     """Report task events in the order in which they occurred.
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -12,6 +12,7 @@
     ConfigurationAnswer,
     ConfigurationQuery,
     Presence,
+    ReleaseWork,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -212,6 +213,7 @@
     | Presence
     | SubmitWork
     | CancelWork
+    | ReleaseWork
     | TaskNews
     | WorkRefused
     | WorkAbandoned
@@ -253,6 +255,7 @@
     19: _codec(ConfigurationQuery),
     20: _codec(ConfigurationAnswer),
     21: _codec(WorkAbandoned),
+    22: _codec(ReleaseWork),
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
