Pass a resubmitted job on to the shard that may be running it

Callers saw a task run twice when a shard had refused its job for load, a second shard ran it, and the client sent the job again through another process.

Both processes offer the job to the same shards in the same order, but a refusal is remembered by the work item, whose key names the holder.

Evidence: six processes, two shards; the first is filled for a second, the second has slow servers, and the clients' connections break unnoticed.

SubmitWork now says whether the holder has another shard to offer the work item to. If so, the owner that refuses it remembers the job and the step too, and refuses a later submission, which then reaches the second shard; that one displaces the first submission and waits for the ends of its runs. The holder's cancellation at the end of the job, sent also to the owners that refused it, ends this. The last shard that is asked remembers nothing, and nor does a shard that has seen a run of the job since.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -87,6 +87,7 @@
     :param earlier_owners: incarnations and terms of earlier owners, which may still have it.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
+    :param refused_by: incarnations of the owners that refused it and remember the refusal.
     """
 
     work_id: int
@@ -97,6 +98,7 @@
     earlier_owners: set[tuple[str, int]] = field(default_factory=set)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
+    refused_by: set[str] = field(default_factory=set)
 
     @property
     def done(self) -> bool:
@@ -341,6 +343,7 @@
             ],
             resumed=bool(work.submitted_to[0]),
             unheard_ms=int(self._unheard_s(work.submitted_to[0]) * 1000),
+            more_offers=self._has_more_offers(work, TOO_LATE),
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
@@ -376,12 +379,10 @@
         work = self._work_by_id.get(message.work_id)
         if work is None or work.submitted_to != (sender, message.term):
             return
-        offers = len(self._shard_owners)
-        if message.reason not in (FITS_ON_NO_SERVER, NO_SERVER):
-            offers = min(offers, MAX_OFFERS_UNDER_LOAD)
-        if work.refused_shards + 1 < offers:
+        if self._has_more_offers(work, message.reason):
             # No task was started there. A resubmitted job is offered to the same shards in the
             # same order.
+            work.refused_by.add(sender)
             work.refused_shards += 1
             work.submitted_to = ("", 0)
             self._submit(work)
@@ -390,6 +391,13 @@
         else:
             self._refuse(work.job, message.reason, message.retry_after_s)
 
+    def _has_more_offers(self, work: _HeldWork, reason: str) -> bool:
+        """Return whether a work item is offered to another shard if this one refuses it."""
+        offers = len(self._shard_owners)
+        if reason not in (FITS_ON_NO_SERVER, NO_SERVER):
+            offers = min(offers, MAX_OFFERS_UNDER_LOAD)
+        return work.refused_shards + 1 < offers
+
     def _handle_abandoned(self, sender: str, message: WorkAbandoned) -> None:
         work = self._work_by_id.get(message.work_id)
         if work is not None and work.submitted_to == (sender, message.term):
@@ -414,10 +422,10 @@
         for work in job.work_by_step.values():
             shard_owner = self._owner_of(work)
             self._work_by_id.pop(work.work_id, None)
-            receivers = {owner for owner, _ in work.earlier_owners}
-            # Also needed after a refusal, as the work item may have been submitted again since,
-            # and for a task whose end an earlier owner has reported.
-            if work.submitted_to[0] and (receivers or not work.done):
+            receivers = work.refused_by | {owner for owner, _ in work.earlier_owners}
+            # Also needed after a refusal, which the owner forgets, as the work item may have been
+            # submitted again since; and for a task whose end an earlier owner has reported.
+            if work.submitted_to[0] and (work.earlier_owners or not work.done):
                 receivers |= {shard_owner.owner, work.submitted_to[0]}
             for receiver in sorted(receivers):
                 self._send(receiver, CancelWork(work.work_id))
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -5,6 +5,8 @@
 from redwingport_dispatch.interfaces import RunEnd
 from redwingport_dispatch.scheduling.work import Work, WorkKey
 
+StepKey = tuple[str, int]
+
 # Ended work items are kept for a holder that resubmits them after its link was broken.
 ENDED_WORK_TTL_S = 3.0
 # Ends that no work item has claimed are kept for holders that are switching to this owner.
@@ -18,12 +20,14 @@
 class Refusal:
     """Represent a refusal sent to a holder; the work item must never start afterwards.
 
+    :param work: the work item.
     :param reason: reason of the refusal.
     :param retry_after_s: time after which there should be capacity, in seconds.
     :param expires_at: monotonic time from which the work item can no longer be resubmitted, in
         seconds.
     """
 
+    work: Work
     reason: str
     retry_after_s: int
     expires_at: float
@@ -47,6 +51,7 @@
     def __init__(self) -> None:
         self._ended_by_key: dict[WorkKey, _EndedWork] = {}
         self._refusal_by_key: dict[WorkKey, Refusal] = {}
+        self._passed_on_by_step: dict[StepKey, Refusal] = {}
         self._unclaimed_by_task: dict[str, _UnclaimedEnd] = {}
         self._started_until_by_job: dict[str, float] = {}
 
@@ -62,12 +67,36 @@
     def note_refused(self, work: Work, reason: str, retry_after_s: int) -> None:
         """Record a refusal until the work item can no longer be resubmitted."""
         expires_at = work.deadline_at + ENDED_WORK_TTL_S
-        self._refusal_by_key[work.key] = Refusal(reason, retry_after_s, expires_at)
+        refusal = Refusal(work, reason, retry_after_s, expires_at)
+        self._refusal_by_key[work.key] = refusal
+        if work.more_offers:
+            self._passed_on_by_step[work.job_id, work.step] = refusal
 
     def find_refusal(self, key: WorkKey) -> Refusal | None:
         """Return the refusal of a work item, or None if it was not refused."""
         return self._refusal_by_key.get(key)
 
+    def find_passed_on(self, work: Work) -> Refusal | None:
+        """Return the refusal of an earlier submission that was then offered to another shard.
+
+        It may be running there. If its job is submitted again, through any process, it has to
+        reach that shard again.
+
+        :param work: the work item of the later submission.
+        :returns: the refusal; None if there is none, or if this shard has started the job since.
+        """
+        if not work.more_offers or self.has_started(work.job_id):
+            return None
+        return self._passed_on_by_step.get((work.job_id, work.step))
+
+    def forget_passed_on(self, key: WorkKey) -> None:
+        """Forget that a refused work item was offered to another shard; its job has ended."""
+        refusal = self._refusal_by_key.get(key)
+        if refusal is not None:
+            step = (refusal.work.job_id, refusal.work.step)
+            if self._passed_on_by_step.get(step) is refusal:
+                del self._passed_on_by_step[step]
+
     def note_started(self, job_id: str, now: float) -> None:
         """Record that a run of a job has started."""
         self._started_until_by_job[job_id] = now + STARTED_JOB_TTL_S
@@ -95,6 +124,11 @@
             for key, refusal in self._refusal_by_key.items()
             if now < refusal.expires_at
         }
+        self._passed_on_by_step = {
+            step: refusal
+            for step, refusal in self._passed_on_by_step.items()
+            if now < refusal.expires_at
+        }
         self._unclaimed_by_task = {
             task: unclaimed
             for task, unclaimed in self._unclaimed_by_task.items()
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -154,6 +154,10 @@
         if ended is not None:
             self._report_done_again(ended)
             return
+        passed_on = None if resumed else self._history.find_passed_on(work)
+        if passed_on is not None:
+            self.refuse(work, passed_on.reason, passed_on.retry_after_s, {})
+            return
         work.late = now + work.shape.estimate_s > work.target_at
         self._displace_older(work, now)
         self.work_by_key[work.key] = work
@@ -181,6 +185,7 @@
 
     def cancel(self, key: WorkKey, now: float) -> None:
         """Cancel a work item: stop its runs and drop its queued tasks."""
+        self._history.forget_passed_on(key)
         work = self.work_by_key.get(key)
         if work is not None:
             self._drop_work(work, now)
--- a/packages/dispatch/tests/simulated_cluster.py
+++ b/packages/dispatch/tests/simulated_cluster.py
@@ -38,6 +38,7 @@
     TaskShape,
     VmRecord,
 )
+from redwingport_dispatch.ownership.shards import rank_shards, shard_of, shard_sizes
 from redwingport_dispatch.process import DispatchProcess
 from redwingport_dispatch.settings import Settings
 from redwingport_entry.logs import DECISIONS, ROOT
@@ -484,6 +485,14 @@
 
     # Servers
 
+    def servers_of(self, shard: int) -> list[ModelServer]:
+        """Return the servers of a shard."""
+        return [
+            server
+            for server_id, server in self.server_by_id.items()
+            if shard_of(server_id, self.store.shard_count) == shard
+        ]
+
     def add_server(self, domain: str = "", cpu_millis: int = 16000) -> ModelServer:
         """Add a server to the network and to the list."""
         number = len(self.server_by_id)
@@ -582,9 +591,22 @@
 
     # Clients
 
-    def submit(self, kind: JobKind, domain: str = "", entry: Entry | None = None) -> str:
-        """Submit a new job; return its id."""
+    def submit(
+        self,
+        kind: JobKind,
+        domain: str = "",
+        entry: Entry | None = None,
+        shard: int | None = None,
+    ) -> str:
+        """Submit a new job; return its id.
+
+        :param shard: shard to which the job is offered first; None for any.
+        """
+        listings = self.store.listing_by_id.values()
+        sizes = shard_sizes(listings, self.store.shard_count)
         self._next_job += 1
+        while shard not in (None, rank_shards(f"{self._next_job:016x}", sizes)[0]):
+            self._next_job += 1
         job_id = f"{self._next_job:016x}"
         domain = domain or self.random.choice(self.domains)
         self._send(job_id, kind, domain, 1, entry)
@@ -663,6 +685,19 @@
         }
         await process.front(scope, receive, send)  # type: ignore[arg-type]
 
+    def lose_clients(self, share: float = 1.0) -> int:
+        """Break the connections of clients; their processes do not notice it.
+
+        :param share: share of the open connections.
+        :returns: the number of broken connections.
+        """
+        attempts = [attempt for entry in self.entries for attempt in entry.attempts]
+        lost = self.random.sample(attempts, round(share * len(attempts)))
+        for attempt in lost:
+            attempt.entry.attempts.remove(attempt)
+            self._resubmit_later(attempt)
+        return len(lost)
+
     def _answer(self, attempt: Attempt, status: int) -> None:
         if attempt not in attempt.entry.attempts:
             return
--- a/packages/dispatch/tests/simulated_faults.py
+++ b/packages/dispatch/tests/simulated_faults.py
@@ -168,6 +168,9 @@
             )
         return f"{server_ids} {slowness}"
 
+    def lose_clients(self) -> str:
+        return str(self._cluster.lose_clients(self._random.uniform(0.1, 1.0)))
+
     def burst(self) -> str:
         jobs_per_s = self._random.choice([40.0, 80.0])
         self._cluster.load(jobs_per_s, 1.0)
@@ -194,5 +197,7 @@
     FaultMix.restart_server,
     FaultMix.disturb_orders,
     FaultMix.slow_servers,
+    FaultMix.lose_clients,
+    FaultMix.lose_clients,
     FaultMix.burst,
 )
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -39,3 +39,20 @@
         cluster.world.run(5.0)
     assert cluster.monitor.starts
     check(cluster)
+
+
+# Guards against a shard that starts a job which it has refused and another shard still runs.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_job_resubmitted_through_another_process_is_run_by_the_same_shard(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=16, shards=2, timeout_s=6.0)
+    with cluster.running():
+        for server in cluster.servers_of(1):
+            server.slowness = 5.0
+        # The first shard is free again when the clients resubmit their jobs, the second is not.
+        for _ in range(len(cluster.servers_of(0))):
+            cluster.submit(LONG, shard=0)
+        cluster.world.run(0.1)
+        assert cluster.lose_clients()
+        cluster.world.run(6.0)
+    assert any(event == "work-refused" for _, _, event, _ in cluster.events)
+    check(cluster)
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -244,6 +244,26 @@
     assert len(set(offers)) == 2
 
 
+async def test_shards_that_refuse_know_of_further_offers_until_the_job_ends() -> None:
+    seen: list[tuple[str, OwnerMessage]] = []
+
+    def script(holder: Holder, links: Links) -> None:
+        shard_owners = [ShardOwner("p", 2), ShardOwner("q", 3), ShardOwner("r", 4)]
+        holder.set_owners(shard_owners)
+        for _ in range(2):
+            owner, message = links.sent[-1]
+            assert isinstance(message, SubmitWork)
+            term = shard_owners[message.shard].term
+            holder.handle_notification(owner, WorkRefused(1, term, TOO_LATE, 3))
+        seen.extend(links.sent)
+
+    await run_job(make_job(), script, owner="")
+    submissions = [item for item in seen if isinstance(item[1], SubmitWork)]
+    assert [message.more_offers for _, message in submissions] == [True, False]
+    cancelled = {owner for owner, message in seen if isinstance(message, CancelWork)}
+    assert cancelled == {owner for owner, _ in submissions}
+
+
 async def test_resubmitted_work_item_is_offered_to_same_shards_in_same_order() -> None:
     """A shard that started tasks of the first attempt does not refuse the second."""
 
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -4,7 +4,7 @@
 from scheduling_fakes import SchedulerHarness
 
 from redwingport_dispatch.interfaces import EndKind, RunListing, ServerReport
-from redwingport_dispatch.scheduling.work import Run
+from redwingport_dispatch.scheduling.work import Run, Work
 
 
 def test_burst_of_long_jobs_does_not_delay_short_ones() -> None:
@@ -383,3 +383,42 @@
     assert [job_id for job_id, _, _ in harness.effects.refused] == ["another"], (
         "both would be late"
     )
+
+
+def refuse_and_recover(more_offers: bool) -> tuple[SchedulerHarness, Work]:
+    """Refuse a work item for lack of a server, and add a server then."""
+    harness = SchedulerHarness(servers=0)
+    work = harness.submit("job", more_offers=more_offers)
+    assert len(harness.effects.refused) == 1
+    harness.add_server("s0")
+    return harness, work
+
+
+def test_job_that_was_passed_on_to_another_shard_is_passed_on_again() -> None:
+    """Guard against a second run: the job is resubmitted while the other shard still runs it."""
+    harness, _ = refuse_and_recover(more_offers=True)
+    harness.submit("job", holder="second", more_offers=True)
+    assert [refusal[:2] for refusal in harness.effects.refused] == [("job", "no server")] * 2
+    assert not harness.effects.started
+
+
+def test_job_that_was_passed_on_is_judged_anew_after_its_end() -> None:
+    harness, work = refuse_and_recover(more_offers=True)
+    harness.scheduler.cancel(work.key, harness.now)
+    harness.submit("job", holder="second", more_offers=True)
+    assert len(harness.effects.started) == 1
+
+
+def test_job_that_was_refused_without_another_offer_is_judged_anew() -> None:
+    harness, _ = refuse_and_recover(more_offers=False)
+    harness.submit("job", holder="second", more_offers=True)
+    assert len(harness.effects.started) == 1
+
+
+def test_job_that_was_passed_on_and_started_here_since_is_not_refused() -> None:
+    """A job is refused only while nothing of it has started."""
+    harness, _ = refuse_and_recover(more_offers=True)
+    report = ServerReport(1, runs=(RunListing("job.0.0.0", 1, 10),))
+    harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
+    harness.submit("job", holder="second", more_offers=True)
+    assert len(harness.effects.refused) == 1
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -78,6 +78,8 @@
     :param resumed: whether an earlier owner may have started tasks of this work item.
     :param unheard_ms: time since the sender last received a heartbeat from the earlier owner, in
         milliseconds; 0 if there is none.
+    :param more_offers: whether the sender offers the work item to another shard if this one
+        refuses it.
     """
 
     work_id: Count
@@ -101,6 +103,7 @@
     tasks: list[tuple[Count, Count, str]]
     resumed: bool
     unheard_ms: Count
+    more_offers: bool
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
