Count leases of a lost owner from its next heartbeat

Callers saw a task run twice when its owner was cut off from its holder, and the server with the first run from both sides.

The next owner starts such a task when the leases of the previous one have ended, counted from its last heartbeat at the holder (`unheard_ms`). But that owner may have extended them until the cut, up to one heartbeat interval later: on a server whose clock is 2 % slow they end 1.02 s after the cut, and the wait ended as early as 0.92 s after it.

The wait is now a heartbeat interval (0.15 s) longer.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -11,6 +11,7 @@
     ServerReport,
     TaskShape,
 )
+from redwingport_dispatch.ownership.election import HEARTBEAT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
 from redwingport_dispatch.scheduling.effects import Effects
 from redwingport_dispatch.scheduling.history import History
@@ -138,7 +139,8 @@
         :param resumed: whether an earlier owner may have started tasks of the work item.
         :param now: monotonic time, in seconds.
         :param unheard_s: time since the holder last received a heartbeat from that owner, in
-            seconds; deducted from the wait for the end of its leases. The owner has either ended
+            seconds; deducted from the wait for the end of its leases, but for one heartbeat
+            interval, within which it may have extended them once more. The owner has either ended
             since then, or noticed soon afterwards that the holder was unreachable, and stopped
             the runs of the work item.
         """
@@ -161,7 +163,8 @@
         work.late = now + work.shape.estimate_s > work.target_at
         self._displace_older(work, now)
         self.work_by_key[work.key] = work
-        work.safe_at = now + self._longest_lease_s() - unheard_s if resumed else now
+        silent_s = max(0.0, unheard_s - HEARTBEAT_S)
+        work.safe_at = now + self._longest_lease_s() - silent_s if resumed else now
         # If the previous owner was reachable until recently, its reports may be in flight.
         recently_reachable = resumed and unheard_s < HANDOVER_REPORT_S
         work.handover_until = now + HANDOVER_REPORT_S if recently_reachable else now
--- a/packages/dispatch/tests/simulated_world.py
+++ b/packages/dispatch/tests/simulated_world.py
@@ -413,6 +413,12 @@
         self.node.is_up = False
         self.node.lifetime += 1
 
+    def set_clock_rate(self, rate: float) -> None:
+        """Set the rate of the clock; its lifetime is dated so that the clock does not jump."""
+        elapsed_s = (self._world.now - self._born_at) * self._rate
+        self._rate = rate
+        self._born_at = self._world.now - elapsed_s / rate
+
     @property
     def clock_ms(self) -> int:
         return 1 + int((self._world.now - self._born_at) * self._rate * 1000)
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -56,3 +56,25 @@
         cluster.world.run(6.0)
     assert any(event == "work-refused" for _, _, event, _ in cluster.events)
     check(cluster)
+
+
+# Guards against a task that is started while the lease which the lost owner extended after its
+# last heartbeat still runs, on a slow clock and out of reach of the next owner.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_next_owner_waits_for_lease_extended_after_last_heartbeat(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=8, shards=1, timeout_s=5.0)
+    with cluster.running():
+        owner, holder, others = owner_and_holder(cluster)
+        for server in cluster.server_by_id.values():
+            server.slowness = 2.0
+            server.set_clock_rate(0.98)
+        cluster.submit(LONG, holder.node.domain, holder)
+        cluster.world.run(0.7 + 0.013 * seed)
+        names = [entry.node.name for entry in (holder, *others)]
+        cluster.cut_pairs([owner.node.name], names, 4.0)
+        for server_id, server in cluster.server_by_id.items():
+            if server.run_by_task:
+                cluster.cut_server(server_id, 4.0)
+        cluster.world.run(4.0)
+    assert cluster.monitor.starts > 2
+    check(cluster)
