--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -215,6 +215,12 @@
         "a work item is cancelled because its job was submitted again",
         ("job", "holder", *OWNER_FIELDS),
     ),
+    LogEvent(
+        "work-released",
+        _O,
+        "a work item is given up because its holder has submitted it to another owner",
+        ("job", *OWNER_FIELDS),
+    ),
     LogEvent(
         "work-not-owned",
         _O,
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -16,6 +16,7 @@
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
+    ReleaseWork,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -33,7 +34,7 @@
 # to all shards.
 MAX_OFFERS_UNDER_LOAD = 2
 
-OwnerMessage = SubmitWork | CancelWork
+OwnerMessage = SubmitWork | CancelWork | ReleaseWork
 
 decisions = logging.getLogger(DECISIONS)
 
@@ -88,12 +89,14 @@
 
     :param submitted_to: incarnation and term of the owner to which it was sent last; empty and 0
         before the first submission and after a refusal.
+    :param earlier_owners: incarnations and terms of earlier owners, which may still have it.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
     :param offers: number of shards to which it was offered, including repeated offers to one that
         had refused it in a previous layout of the shards.
     :param refusing_shards: shards that have refused it, in any layout.
     :param handovers: number of times that it was handed over to another owner.
+    :param refused_by: incarnations of the owners that refused it and remember the refusal.
     """
 
     work_id: int
@@ -101,11 +104,13 @@
     step: int
     task_by_index: dict[int, _HeldTask]
     submitted_to: tuple[str, int] = ("", 0)
+    earlier_owners: set[tuple[str, int]] = field(default_factory=set)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
     offers: int = 0
     refusing_shards: list[int] = field(default_factory=list)
     handovers: int = 0
+    refused_by: set[str] = field(default_factory=set)
 
     @property
     def done(self) -> bool:
@@ -263,10 +268,15 @@
             )
 
     def resubmit(self, owner: str) -> None:
-        """Submit all open work items of an owner again, including those it may already have."""
+        """Repeat the messages about open work items that an owner may have missed.
+
+        All its work items are submitted again, including those it may already have, and those
+        that were submitted to another owner since are released again.
+        """
         for work in list(self._work_by_id.values()):
             if self._owner_of(work).owner == owner:
                 self._submit(work)
+            self._release(work, owner)
 
     def _shard_of(self, work: _HeldWork) -> int:
         """Return the first shard in the order of the job that has not refused the work item."""
@@ -377,6 +387,7 @@
             ],
             resumed=bool(work.submitted_to[0]),
             unheard_ms=int(self._unheard_s(work.submitted_to[0]) * 1000),
+            more_offers=self._has_more_offers(work, TOO_LATE),
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
@@ -388,6 +399,16 @@
         if not self._send(shard_owner.owner, message):
             work.submitted_to = before
             work.offers, work.handovers = counts
+        elif before[0] and before != (shard_owner.owner, shard_owner.term):
+            work.earlier_owners.add(before)
+            work.earlier_owners.discard((shard_owner.owner, shard_owner.term))
+            self._release(work, before[0])
+
+    def _release(self, work: _HeldWork, owner: str) -> None:
+        """Tell an earlier owner of a work item, if it is one, that another owner has it now."""
+        for earlier, term in list(work.earlier_owners):
+            if earlier == owner:
+                self._send(owner, ReleaseWork(work.work_id, term))
 
     def _record_placement(self, job: Job) -> None:
         if not job.started:
@@ -409,12 +430,10 @@
         if work is None or work.submitted_to != (sender, message.term):
             return
         work.refusing_shards.append(self._shard_of(work))
-        offers = len(self._shard_owners)
-        if message.reason not in (FITS_ON_NO_SERVER, NO_SERVER):
-            offers = min(offers, MAX_OFFERS_UNDER_LOAD)
-        if work.refused_shards + 1 < offers:
+        if self._has_more_offers(work, message.reason):
             # No task was started there. A resubmitted job is offered to the same shards in the
             # same order.
+            work.refused_by.add(sender)
             work.refused_shards += 1
             work.submitted_to = ("", 0)
             self._submit(work)
@@ -423,6 +442,13 @@
         else:
             self._refuse(work.job, message.reason, message.retry_after_s)
 
+    def _has_more_offers(self, work: _HeldWork, reason: str) -> bool:
+        """Return whether a work item is offered to another shard if this one refuses it."""
+        offers = len(self._shard_owners)
+        if reason not in (FITS_ON_NO_SERVER, NO_SERVER):
+            offers = min(offers, MAX_OFFERS_UNDER_LOAD)
+        return work.refused_shards + 1 < offers
+
     def _handle_abandoned(self, sender: str, message: WorkAbandoned) -> None:
         work = self._work_by_id.get(message.work_id)
         if work is not None and work.submitted_to == (sender, message.term):
@@ -447,9 +473,13 @@
         for work in job.work_by_step.values():
             shard_owner = self._owner_of(work)
             self._work_by_id.pop(work.work_id, None)
-            # Also needed after a refusal, as the work item may have been submitted again since.
-            if work.submitted_to[0] and not work.done:
-                self._send(shard_owner.owner, CancelWork(work.work_id))
+            receivers = work.refused_by | {owner for owner, _ in work.earlier_owners}
+            # Also needed after a refusal, which the owner forgets, as the work item may have been
+            # submitted again since; and for a task whose end an earlier owner has reported.
+            if work.submitted_to[0] and (work.earlier_owners or not work.done):
+                receivers |= {shard_owner.owner, work.submitted_to[0]}
+            for receiver in sorted(receivers):
+                self._send(receiver, CancelWork(work.work_id))
         now = anyio.current_time()
         steps = job.request.steps
         tasks = sum(step.count for step in steps)
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -16,6 +16,7 @@
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
+    ReleaseWork,
     SubmitWork,
     TaskEvent,
     TaskNews,
@@ -183,6 +184,7 @@
             received_at=now - message.waited_ms / 1000,
             target_at=now + message.target_ms / 1000,
             deadline_at=now + message.deadline_ms / 1000,
+            more_offers=message.more_offers,
             task_by_index={index: Task(index, next_run) for index, next_run, _ in message.tasks},
         )
         placed_by_index = {index: server_id for index, _, server_id in message.tasks}
@@ -195,6 +197,11 @@
         self.scheduler.cancel((holder, message.work_id), anyio.current_time())
         self._flush_task_events()
 
+    def release(self, holder: str, message: ReleaseWork) -> None:
+        """Give up a work item that its holder has submitted to another owner."""
+        self.scheduler.release((holder, message.work_id), anyio.current_time())
+        self._flush_task_events()
+
     def drop_holder(self, holder: str, unheard_s: float) -> None:
         """Stop the work items of a holder that is unreachable or has ended.
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -11,6 +11,7 @@
     ServerReport,
     TaskShape,
 )
+from redwingport_dispatch.ownership.election import HEARTBEAT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
 from redwingport_dispatch.scheduling.effects import Effects
 from redwingport_dispatch.scheduling.history import History
@@ -139,7 +140,8 @@
         :param resumed: whether an earlier owner may have started tasks of the work item.
         :param now: monotonic time, in seconds.
         :param unheard_s: time since the holder last received a heartbeat from that owner, in
-            seconds; deducted from the wait for the end of its leases. The owner has either ended
+            seconds; deducted from the wait for the end of its leases, but for one heartbeat
+            interval, within which it may have extended them once more. The owner has either ended
             since then, or noticed soon afterwards that the holder was unreachable, and stopped
             the runs of the work item.
         """
@@ -155,10 +157,15 @@
         if ended is not None:
             self._report_done_again(ended)
             return
+        passed_on = None if resumed else self._history.find_passed_on(work)
+        if passed_on is not None:
+            self.refuse(work, passed_on.reason, passed_on.retry_after_s, {})
+            return
         work.late = now + work.shape.estimate_s > work.target_at
         self._displace_older(work, now)
         self.work_by_key[work.key] = work
-        work.safe_at = now + self._longest_lease_s() - unheard_s if resumed else now
+        silent_s = max(0.0, unheard_s - HEARTBEAT_S)
+        work.safe_at = now + self._longest_lease_s() - silent_s if resumed else now
         # If the previous owner was reachable until recently, its reports may be in flight.
         recently_reachable = resumed and unheard_s < HANDOVER_REPORT_S
         work.handover_until = now + HANDOVER_REPORT_S if recently_reachable else now
@@ -183,11 +190,29 @@
 
     def cancel(self, key: WorkKey, now: float) -> None:
         """Cancel a work item: stop its runs and drop its queued tasks."""
+        self._history.forget_passed_on(key)
         work = self.work_by_key.get(key)
         if work is not None:
             self._drop_work(work, now)
             self.dispatch(now)
 
+    def release(self, key: WorkKey, now: float) -> None:
+        """Give up a work item that its holder has submitted to another owner.
+
+        Its runs become unclaimed: the other owner adopts those on servers that it reaches.
+        """
+        work = self.work_by_key.get(key)
+        if work is None:
+            return
+        self._effects.log_decision("work-released", job=work.job_id)
+        self._forget_work(work)
+        for task in work.task_by_index.values():
+            run = self.run_by_task.get(work.task_name(task.index))
+            if run is not None and run.work is work:
+                run.work, run.released_work = None, work
+                if run.state in (RunState.STARTING, RunState.RUNNING):
+                    run.orphan_until = now + ORPHAN_GRACE_S
+
     def drop_holder(self, holder: str, now: float) -> int:
         """Cancel all work items of a process that has ended.
 
@@ -603,6 +628,7 @@
         task.state = TaskState.ACTIVE
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
+        run.released_work = None
         self.server_by_id[run.server_id].set_run_shape(run, work.shape)
         self._effects.log_decision(
             "run-adopted",
@@ -629,6 +655,11 @@
         if work is None:
             if run.logs_end or run.orphan_until:
                 self._log_end(server, end)
+            if run.released_work is not None and end.kind is EndKind.DONE:
+                # Acknowledged here, the end is no longer reported to the other owner.
+                released = run.released_work
+                task = released.task_by_index[run.index]
+                self._effects.report_done(released, task, run.number, run.server_id)
             self._history.note_unclaimed_end(end, now)
             return
         task = work.task_by_index[run.index]
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -107,6 +107,7 @@
     :param received_at: monotonic time at which its holder received the job, in seconds.
     :param target_at: monotonic time until which the answer is on time, in seconds.
     :param deadline_at: monotonic time until which the client waits for the answer, in seconds.
+    :param more_offers: whether its holder offers it to another shard if this owner refuses it.
     :param safe_at: monotonic time from which no run of an earlier owner can be left, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
@@ -127,6 +128,7 @@
     received_at: float
     target_at: float
     deadline_at: float
+    more_offers: bool = False
     safe_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
@@ -192,6 +194,8 @@
     :param over: evidence that this run is over; None before.
     :param logs_end: whether its end is logged although it belongs to no work item, because its
         task may be started by another owner or for another holder.
+    :param released_work: work item that it belonged to until its holder submitted that to another
+        owner; None if there is none.
     """
 
     task_name: str
@@ -211,6 +215,7 @@
     after: RunOver = RunOver.NONE_KNOWN
     over: RunOver | None = None
     logs_end: bool = False
+    released_work: Work | None = None
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -20,6 +20,7 @@
 from redwingport_dispatch.scheduling.admission import TOO_LATE
 from redwingport_messages.dispatch import (
     CancelWork,
+    ReleaseWork,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -120,6 +121,38 @@
     assert (await run_job(make_job(), script)).outcome is Outcome.UNKNOWN
 
 
+async def test_work_item_is_released_at_its_previous_owner() -> None:
+    """Guard against two owners that start the tasks of one work item.
+
+    They do not reach each other, but this holder reaches both.
+    """
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("p", 2)])
+        assert links.sent[-1] == ("o", ReleaseWork(1, 1))
+        holder.resubmit("o")
+        assert links.sent[-1] == ("o", ReleaseWork(1, 1))
+        holder.set_owners([ShardOwner("o", 1)])
+        assert links.sent[-1] == ("p", ReleaseWork(1, 2))
+        holder.resubmit("o")
+        assert isinstance(links.sent[-1][1], SubmitWork)
+
+    await run_job(make_job(), script)
+
+
+async def test_work_item_is_kept_by_its_owner_until_the_next_one_is_reached() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        links.up = False
+        holder.set_owners([ShardOwner("p", 2)])
+        links.up = True
+        holder.resubmit("o")
+        assert not any(isinstance(message, ReleaseWork) for _, message in links.sent)
+        holder.resubmit("p")
+        assert links.sent[-1] == ("o", ReleaseWork(1, 1))
+
+    await run_job(make_job(), script)
+
+
 async def test_refusal_by_owner_ends_job() -> None:
     def script(holder: Holder, links: Links) -> None:
         holder.handle_notification("o", WorkRefused(1, 1, "too late", 7))
@@ -212,6 +245,26 @@
     assert len(set(offers)) == 2
 
 
+async def test_shards_that_refuse_know_of_further_offers_until_the_job_ends() -> None:
+    seen: list[tuple[str, OwnerMessage]] = []
+
+    def script(holder: Holder, links: Links) -> None:
+        shard_owners = [ShardOwner("p", 2), ShardOwner("q", 3), ShardOwner("r", 4)]
+        holder.set_owners(shard_owners)
+        for _ in range(2):
+            owner, message = links.sent[-1]
+            assert isinstance(message, SubmitWork)
+            term = shard_owners[message.shard].term
+            holder.handle_notification(owner, WorkRefused(1, term, TOO_LATE, 3))
+        seen.extend(links.sent)
+
+    await run_job(make_job(), script, owner="")
+    submissions = [item for item in seen if isinstance(item[1], SubmitWork)]
+    assert [message.more_offers for _, message in submissions] == [True, False]
+    cancelled = {owner for owner, message in seen if isinstance(message, CancelWork)}
+    assert cancelled == {owner for owner, _ in submissions}
+
+
 async def test_resubmitted_work_item_is_offered_to_same_shards_in_same_order() -> None:
     """A shard that started tasks of the first attempt does not refuse the second."""
 
@@ -266,7 +319,11 @@
     def script(holder: Holder, links: Links) -> None:
         holder.set_owners([ShardOwner("o", 1), ShardOwner("p", 2), ShardOwner("q", 3)])
         for _ in range(2):
-            owner, message = links.sent[-1]
+            owner, message = next(
+                (owner, message)
+                for owner, message in reversed(links.sent)
+                if isinstance(message, SubmitWork)
+            )
             term = {"o": 1, "p": 2, "q": 3}[owner]
             holder.handle_notification(owner, WorkRefused(message.work_id, term, "too late", 1))
 
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -78,6 +78,8 @@
     :param resumed: whether an earlier owner may have started tasks of this work item.
     :param unheard_ms: time since the sender last received a heartbeat from the earlier owner, in
         milliseconds; 0 if there is none.
+    :param more_offers: whether the sender offers the work item to another shard if this one
+        refuses it.
     """
 
     work_id: Count
@@ -101,6 +103,7 @@
     tasks: list[tuple[Count, Count, str]]
     resumed: bool
     unheard_ms: Count
+    more_offers: bool
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -113,6 +116,20 @@
     work_id: Count
 
 
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class ReleaseWork:
+    """Tell the previous owner of a work item that it was submitted to another owner.
+
+    The previous owner starts nothing more of it, and leaves its runs to the other owner.
+
+    :param work_id: number of the work item at the sender.
+    :param term: term of the previous owner.
+    """
+
+    work_id: Count
+    term: Count
+
+
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class TaskNews:
     """Report task events in the order in which they occurred.
