Encode and decode messages with less work for each field

Cause: a fifth of the time of an idle process without shards goes to the codec of its heartbeats, one to two thirds of it outside of msgpack and pydantic: a loop in Python over 13 field names, a new packer for each message, and a dictionary of arguments with a call for each value.

Change: an attrgetter reads all fields, one packer is kept, and the values are passed by position, where only lists are converted. What is checked stays: the number of fields, and their types by pydantic.

The round trips of the tests pass; the packer is usable after a value that it can't encode.

--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -1,6 +1,8 @@
 """Messages between entry processes and their encoding as msgpack frames."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, fields
+from operator import attrgetter
 from typing import Annotated, Any
 
 import msgpack
@@ -222,12 +224,24 @@
 
 @dataclass(frozen=True, slots=True)
 class _Codec:
+    """Describe how the fields of a message class are read and checked.
+
+    :param cls: class that checks the values of its fields.
+    :param field_count: number of fields.
+    :param read: returns the values of the fields of a message.
+    """
+
     cls: type[Any]
-    names: tuple[str, ...]
+    field_count: int
+    read: Callable[[Any], tuple[Any, ...]]
 
 
 def _codec(cls: type[Any]) -> _Codec:
-    return _Codec(cls, tuple(field.name for field in fields(cls)))
+    names = [field.name for field in fields(cls)]
+    # A getter of several attributes returns a tuple and needs no loop in Python.
+    if len(names) > 1:
+        return _Codec(cls, len(names), attrgetter(*names))
+    return _Codec(cls, len(names), lambda message: tuple(getattr(message, n) for n in names))
 
 
 # Message numbers are part of the protocol and are never reused for another message. 13 was an
@@ -256,6 +270,9 @@
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
+# msgpack.packb would build a packer for each call.
+_pack = msgpack.Packer().pack
+
 
 def encode_frame(message: Frame) -> bytes:
     """Encode a message as a frame.
@@ -265,8 +282,7 @@
     :raises MessageError: if the body is longer than :data:`MAX_FRAME_BYTES`.
     """
     code = _CODE_BY_CLASS[type(message)]
-    names = _CODEC_BY_CODE[code].names
-    body: bytes = msgpack.packb([code, *(getattr(message, name) for name in names)])
+    body: bytes = _pack((code, *_CODEC_BY_CODE[code].read(message)))
     if len(body) > MAX_FRAME_BYTES:
         raise MessageError("encode frame", "", f"{len(body)} bytes exceed {MAX_FRAME_BYTES}")
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
@@ -291,11 +307,11 @@
     codec = _CODEC_BY_CODE.get(values[0])
     if codec is None:
         raise MessageError("decode frame", peer, f"unknown message number {values[0]}")
-    if len(values) - 1 != len(codec.names):
+    if len(values) - 1 != codec.field_count:
         raise MessageError("decode frame", peer, f"{codec.cls.__name__}: wrong number of fields")
-    members = dict(zip(codec.names, map(_as_tuples, values[1:]), strict=True))
+    members = [_as_tuples(value) if type(value) is list else value for value in values[1:]]
     try:
-        message: Frame = codec.cls(**members)
+        message: Frame = codec.cls(*members)
     except ValidationError as error:
         kind = codec.cls.__name__
         raise MessageError(
@@ -304,8 +320,6 @@
     return message
 
 
-def _as_tuples(value: Any) -> Any:
+def _as_tuples(values: list[Any]) -> list[Any]:
     """Convert the inner lists of a list to tuples, as declared by the message classes."""
-    if isinstance(value, list):
-        return [tuple(item) if isinstance(item, list) else item for item in value]
-    return value
+    return [tuple(item) if isinstance(item, list) else item for item in values]
