Read the time from the running event loop directly

Cause: 11 % of the profiled time of an idle process went to anyio.current_time, which looks up the name of the running library and its backend on each of some 500 calls a second.

The tests of dispatch and messages, mypy and the linter pass.

--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -8,6 +8,7 @@
 import anyio
 from result import Err
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.holder import Holder, Job, JobEnd, Outcome, response_target_s
 from redwingport_dispatch.interfaces import Configuration, JobFormat, JobState, Route
 from redwingport_dispatch.routes import RouteTable
@@ -82,7 +83,7 @@
         """Answer one request; see the ASGI specification."""
         if scope["type"] != "http":
             return
-        received_at = anyio.current_time()
+        received_at = current_time()
         body = await self._read_body(receive)
         if body is None:
             response: Response | None = Response(413)
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.interfaces import JobRequest, Route
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
@@ -188,7 +189,7 @@
         self.job_by_id[job.job_id] = job
         try:
             self._submit_ready_steps(job)
-            with anyio.move_on_after(max(0.0, job.deadline_at - anyio.current_time())):
+            with anyio.move_on_after(max(0.0, job.deadline_at - current_time())):
                 await job.ended.wait()
             if job.end is None:
                 self._end_at_deadline(job)
@@ -277,7 +278,7 @@
                 self._has_works = anyio.Event()
                 await self._has_works.wait()
             await anyio.sleep(TICK_S)
-            now = anyio.current_time()
+            now = current_time()
             for work in list(self._work_by_id.values()):
                 if not work.submitted_to[0]:
                     self._submit(work)
@@ -306,7 +307,7 @@
         if not shard_owner.owner or job.end is not None:
             return
         shape = job.request.steps[work.step].shape
-        now = anyio.current_time()
+        now = current_time()
         message = SubmitWork(
             work_id=work.work_id,
             job_id=job.job_id,
@@ -342,7 +343,7 @@
     def _record_placement(self, job: Job) -> None:
         if not job.started:
             job.started = True
-            self._metrics.observe_first_start(anyio.current_time() - job.received_at)
+            self._metrics.observe_first_start(current_time() - job.received_at)
 
     def _finish_work(self, work: _HeldWork) -> None:
         if not work.done:
@@ -399,7 +400,7 @@
             # Also needed after a refusal, as the work item may have been submitted again since.
             if work.submitted_to[0] and not work.done:
                 self._send(shard_owner.owner, CancelWork(work.work_id))
-        now = anyio.current_time()
+        now = current_time()
         self._metrics.observe_job(job.route.name, end.outcome, now - job.received_at)
         log_event(
             decisions,
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.interfaces import ServerClientFactory, ServerListing, TaskShape
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.scheduling.placement import Placement
@@ -104,7 +105,7 @@
         """
         if self._task_group is None or self._stopped.is_set():
             return
-        now = anyio.current_time()
+        now = current_time()
         for server_id, listing in listing_by_id.items():
             known = self.scheduler.server_by_id.get(server_id)
             if known is not None and known.listing.address != listing.address:
@@ -154,13 +155,13 @@
         scope = self._cancel_scope_by_server.pop(server_id, None)
         if scope is not None:
             scope.cancel()
-        self.scheduler.remove_server(server_id, anyio.current_time())
+        self.scheduler.remove_server(server_id, current_time())
 
     # Messages from holders
 
     def submit(self, holder: str, message: SubmitWork) -> None:
         """Accept a work item from its holder."""
-        now = anyio.current_time()
+        now = current_time()
         shape = TaskShape(
             cpu_millis=message.cpu_millis,
             memory_mb=message.memory_mb,
@@ -192,12 +193,12 @@
 
     def cancel(self, holder: str, message: CancelWork) -> None:
         """Stop a work item that its holder has cancelled."""
-        self.scheduler.cancel((holder, message.work_id), anyio.current_time())
+        self.scheduler.cancel((holder, message.work_id), current_time())
         self._flush_task_events()
 
     def drop_holder(self, holder: str) -> None:
         """Stop the work items of a holder that is unreachable or has ended."""
-        dropped = self.scheduler.drop_holder(holder, anyio.current_time())
+        dropped = self.scheduler.drop_holder(holder, current_time())
         if dropped:
             self.log_decision("holder-dropped", holder=holder, works=dropped)
         self._flush_task_events()
@@ -217,7 +218,7 @@
     def report_placed(self, work: Work, run: Run, placement: Placement) -> None:
         """Notify the holder that the start of a task was ordered; see :class:`Effects`."""
         self._add_event(work, (work.work_id, run.index, "placed", run.number, run.server_id))
-        now = anyio.current_time()
+        now = current_time()
         log_event(
             decisions,
             logging.INFO,
@@ -250,8 +251,8 @@
             reason=reason,
             retry_after_s=retry_after_s,
             queued=len(self.scheduler.queue),
-            waited_s=round(anyio.current_time() - work.received_at, 4),
-            left_s=round(work.deadline_at - anyio.current_time(), 4),
+            waited_s=round(current_time() - work.received_at, 4),
+            left_s=round(work.deadline_at - current_time(), 4),
             **inputs,
         )
         self._send_notification(
@@ -264,7 +265,7 @@
             "work-abandoned",
             job=work.job_id,
             open_tasks=sum(task.state is not TaskState.DONE for task in work.tasks()),
-            left_s=round(work.deadline_at - anyio.current_time(), 4),
+            left_s=round(work.deadline_at - current_time(), 4),
             queued=len(self.scheduler.queue),
         )
         self._send_notification(work.holder, WorkAbandoned(work.work_id, self.term))
@@ -290,7 +291,7 @@
     async def _tick(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
-            now = anyio.current_time()
+            now = current_time()
             for server_id, server in list(self.scheduler.server_by_id.items()):
                 idle = not server.run_by_task
                 if server.gone_at and (now >= server.gone_at or server.suspect and idle):
--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.connections import IncomingConnection, OutgoingConnection
 from redwingport_entry.logs import ROOT, log_event
 from redwingport_messages.dispatch import Presence
@@ -210,7 +211,7 @@
 
     async def _send_all(self, link: _OutgoingLink, connection: OutgoingConnection) -> None:
         link.queue = deque()
-        link.connected_at = anyio.current_time()
+        link.connected_at = current_time()
         await self._send_presence(link, connection)
         log_event(logger, logging.INFO, "peer-link-opened", peer=link.address)
         if link.incarnation:
@@ -247,7 +248,7 @@
         await connection.send([self._describe(link.incarnation)])
 
     def _check_reachable(self, link: _OutgoingLink) -> None:
-        open_s = anyio.current_time() - link.connected_at
+        open_s = current_time() - link.connected_at
         if (
             link.incarnation
             and open_s > REACHABILITY_TIMEOUT_S
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 from prometheus_client import make_asgi_app
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.front import JobApi, ReadinessCheck
 from redwingport_dispatch.holder import NO_OWNER, Holder, OwnerMessage
 from redwingport_dispatch.interfaces import (
@@ -115,11 +116,11 @@
         self._platform = open_platform(task_group, settings)
         weight = round(settings.process.cores * settings.process.core_share * 1000)
         tag = int(self.incarnation, 16)
-        self._election = Election(self.incarnation, weight, tag, anyio.current_time())
+        self._election = Election(self.incarnation, weight, tag, current_time())
         self._weight = weight
         self._shard_owners: Sequence[ShardOwner] = ()
         self._reachable_peers: set[str] = set()
-        self._isolated_since = anyio.current_time()
+        self._isolated_since = current_time()
         self._timeout_changed = anyio.Event()
         self._sequence = itertools.count(1)
         self._owner_by_shard: dict[int, Owner] = {}
@@ -127,7 +128,7 @@
         self.holder = Holder(
             self.incarnation,
             self._send_to_owner,
-            lambda peer: self._election.unheard_s(peer, anyio.current_time()),
+            lambda peer: self._election.unheard_s(peer, current_time()),
             lambda count: shard_sizes(self._servers.listing_by_id.values(), count),
             self.metrics,
         )
@@ -135,7 +136,7 @@
             settings.listen.peers,
             self._election.heartbeat_s,
             self._describe,
-            lambda peer: self._election.is_reachable(peer, anyio.current_time()),
+            lambda peer: self._election.is_reachable(peer, current_time()),
             self._handle_message,
             self._handle_link,
             self._shorten_peer_timeout,
@@ -228,12 +229,12 @@
         self._drain_started.set()
 
     async def _drain(self) -> None:
-        started_at = anyio.current_time()
+        started_at = current_time()
         ends_at = started_at + self.settings.bounds.grace_s - CLOSE_TIMEOUT_S
-        while anyio.current_time() < ends_at:
+        while current_time() < ends_at:
             idle = not self.holder.job_by_id and not self._owner_by_shard
             alone = not self.holder.job_by_id and not self._reachable_peers
-            if anyio.current_time() - started_at >= MIN_DRAIN_S and (idle or alone):
+            if current_time() - started_at >= MIN_DRAIN_S and (idle or alone):
                 break
             await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
         log_event(
@@ -256,7 +257,7 @@
     async def _watch_election(self) -> None:
         while True:
             self._update_owners()
-            now = anyio.current_time()
+            now = current_time()
             self._election.prune(now)
             timeout_at = self._election.next_timeout_at(now)
             owned = bool(self._shard_owners) and all(
@@ -268,7 +269,7 @@
                 await self._timeout_changed.wait()
 
     def _shorten_peer_timeout(self, incarnation: str) -> None:
-        self._election.shorten_timeout(incarnation, anyio.current_time())
+        self._election.shorten_timeout(incarnation, current_time())
         # The timeout now expires before the next scheduled run of the election.
         self._timeout_changed.set()
 
@@ -288,7 +289,7 @@
 
     def _update_owners(self) -> None:
         """Determine the owners of the shards, and apply changes."""
-        now = anyio.current_time()
+        now = current_time()
         reachable = {peer.incarnation for peer in self._election.reachable_peers(now)}
         lost = self._reachable_peers - reachable
         self._reachable_peers = reachable
@@ -344,7 +345,7 @@
             self._platform.server_clients,
             listing_by_id,
             term,
-            lambda: self._election.reaches_majority(anyio.current_time()),
+            lambda: self._election.reaches_majority(current_time()),
             self._election.note_token,
             self._send_notification,
             self.metrics,
@@ -397,7 +398,7 @@
             owned_terms=sorted(self._election.owned_term_by_shard.items()),
             heartbeat_ms=round(self._election.heartbeat_s(peer) * 1000),
             draining=self.draining,
-            hears_you=self._election.receives_heartbeats_from(peer, anyio.current_time()),
+            hears_you=self._election.receives_heartbeats_from(peer, current_time()),
             configuration_revision=self._configuration.revision,
         )
 
@@ -419,7 +420,7 @@
 
     def _handle_presence(self, presence: Presence) -> None:
         self._remove_predecessor(presence)
-        changed = self._election.observe(presence, anyio.current_time())
+        changed = self._election.observe(presence, current_time())
         self._raise_shard_count(presence.shards)
         if presence.configuration_revision > self._configuration.revision:
             query = ConfigurationQuery(self._configuration.revision)
@@ -475,6 +476,6 @@
         self.routes = RouteTable(configuration.routes)
 
     def _apply_servers(self, listing_by_id: Mapping[str, ServerListing]) -> None:
-        fresh = anyio.current_time() - self._servers.read_at < FRESH_LIST_MAX_AGE_S
+        fresh = current_time() - self._servers.read_at < FRESH_LIST_MAX_AGE_S
         for shard, owner in self._owner_by_shard.items():
             owner.update_servers(self._listing_of_shard(shard, listing_by_id), fresh)
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 from result import Err, Result
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.exceptions import OrderError, OrderFailure
 from redwingport_dispatch.interfaces import RunEnd, ServerClient, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
@@ -106,7 +107,7 @@
         await self._client.aclose()
 
     async def _renew(self) -> None:
-        sent_at = anyio.current_time()
+        sent_at = current_time()
         extends = (
             self._may_extend
             and self._lease.has_clock
@@ -127,7 +128,7 @@
             int(wait_s * 1000),
             sent_at + wait_s + ANSWER_TIMEOUT_S,
         )
-        now = anyio.current_time()
+        now = current_time()
         self._metrics.observe_order("renew", result)
         if isinstance(result, Err):
             await self._handle_renewal_error(result.err_value)
@@ -203,12 +204,12 @@
                 reason=error.reason,
             )
         self._scheduler.handle_unreachable(self._server_id)
-        self._lossy_until = anyio.current_time() + LOSSY_PERIOD_S
+        self._lossy_until = current_time() + LOSSY_PERIOD_S
         await anyio.sleep(self._backoff_s)
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
 
     async def _handle_fenced(self, error: OrderError) -> None:
-        self._scheduler.handle_fenced(self._server_id, anyio.current_time())
+        self._scheduler.handle_fenced(self._server_id, current_time())
         # Another owner may have been elected legitimately; after the delay, its heartbeats would
         # have ended this one. Raising the token against it would let two owners start tasks of
         # the same job.
@@ -231,7 +232,7 @@
             await anyio.sleep(YIELD_RETRY_S)
 
     async def _start(self, run: Run, work: Work) -> None:
-        now = anyio.current_time()
+        now = current_time()
         order = StartOrder(
             task=run.task_name,
             number=run.number,
@@ -241,7 +242,7 @@
         )
         self._note_lease_end()
         result = await self._client.start(order, now + ANSWER_TIMEOUT_S)
-        answered_at = anyio.current_time()
+        answered_at = current_time()
         self._metrics.observe_order("start", result, answered_at - now)
         if isinstance(result, Err):
             self._log_start_failure(run, work, result)
@@ -251,15 +252,15 @@
             self._scheduler.handle_started(run, result.ok_value, answered_at)
 
     async def _stop(self, run: Run) -> None:
-        now = anyio.current_time()
+        now = current_time()
         result = await self._client.stop(
             run.task_name, run.number, self._token, now + ANSWER_TIMEOUT_S
         )
         self._metrics.observe_order("stop", result)
         if isinstance(result, Err):
-            self._scheduler.handle_not_stopped(run, result.err_value.failure, anyio.current_time())
+            self._scheduler.handle_not_stopped(run, result.err_value.failure, current_time())
         else:
-            self._scheduler.handle_stopped(run, anyio.current_time())
+            self._scheduler.handle_stopped(run, current_time())
 
     def _log_start_failure(self, run: Run, work: Work, result: Result[int, OrderError]) -> None:
         error = result.err()
--- a/packages/dispatch/src/redwingport_dispatch/watchers.py
+++ b/packages/dispatch/src/redwingport_dispatch/watchers.py
@@ -6,6 +6,7 @@
 import anyio
 from result import Err
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.interfaces import (
     Configuration,
     PlatformStore,
@@ -50,7 +51,7 @@
 
     async def handle_failure(self, error: Exception) -> None:
         """Record a failed call, and wait for the backoff delay."""
-        now = anyio.current_time()
+        now = current_time()
         if not self._lost_at:
             self._lost_at = now
             log_event(logger, logging.WARNING, "store-lost", use=self._name, reason=str(error))
@@ -61,7 +62,7 @@
         """Record a successful call."""
         self._backoff_s = INITIAL_BACKOFF_S
         if self._lost_at:
-            outage_s = round(anyio.current_time() - self._lost_at, 3)
+            outage_s = round(current_time() - self._lost_at, 3)
             self._lost_at = 0.0
             log_event(logger, logging.INFO, "store-regained", use=self._name, after_s=outage_s)
 
@@ -130,7 +131,7 @@
         read_full = True
         next_full_read_at = 0.0
         while True:
-            now = anyio.current_time()
+            now = current_time()
             if read_full or now >= next_full_read_at:
                 kind = "read-configuration"
                 result = await self._store.read_configuration()
@@ -178,13 +179,13 @@
     async def run(self) -> None:
         """Read the store until the task is cancelled."""
         while True:
-            now = anyio.current_time()
+            now = current_time()
             if self._revision is None or now >= self._next_full_read_at:
                 succeeded = await self._read_full(now)
             else:
                 succeeded = await self._read_changes(self._revision)
             if succeeded:
-                self.read_at = anyio.current_time()
+                self.read_at = current_time()
                 self._store_health.handle_success()
                 self._on_change(self.listing_by_id)
                 await anyio.sleep(
