--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.interfaces import JobRequest, Route
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
@@ -205,7 +206,7 @@
         self.job_by_id[job.job_id] = job
         try:
             self._submit_ready_steps(job)
-            with anyio.move_on_after(max(0.0, job.deadline_at - anyio.current_time())):
+            with anyio.move_on_after(max(0.0, job.deadline_at - current_time())):
                 await job.ended.wait()
             if job.end is None:
                 self._end_at_deadline(job)
@@ -331,7 +332,7 @@
                 self._has_works = anyio.Event()
                 await self._has_works.wait()
             await anyio.sleep(TICK_S)
-            now = anyio.current_time()
+            now = current_time()
             for work in list(self._work_by_id.values()):
                 if not work.submitted_to[0]:
                     self._submit(work)
@@ -360,7 +361,7 @@
         if not shard_owner.owner or job.end is not None:
             return
         shape = job.request.steps[work.step].shape
-        now = anyio.current_time()
+        now = current_time()
         message = SubmitWork(
             work_id=work.work_id,
             job_id=job.job_id,
@@ -413,7 +414,7 @@
     def _record_placement(self, job: Job) -> None:
         if not job.started:
             job.started = True
-            self._metrics.observe_first_start(anyio.current_time() - job.received_at)
+            self._metrics.observe_first_start(current_time() - job.received_at)
 
     def _finish_work(self, work: _HeldWork) -> None:
         if not work.done:
@@ -480,7 +481,7 @@
                 receivers |= {shard_owner.owner, work.submitted_to[0]}
             for receiver in sorted(receivers):
                 self._send(receiver, CancelWork(work.work_id))
-        now = anyio.current_time()
+        now = current_time()
         steps = job.request.steps
         tasks = sum(step.count for step in steps)
         declared_s = sum(step.count * step.shape.estimate_s for step in steps)
--- a/packages/dispatch/tests/simulated_cluster.py
+++ b/packages/dispatch/tests/simulated_cluster.py
@@ -322,8 +322,6 @@
             clock = types.SimpleNamespace(time_ns=self._time_ns)
             ids = types.SimpleNamespace(token_hex=self._token_hex)
             for target, value in (
-                ("anyio.connect_tcp", self._connect),
-                ("anyio.create_tcp_listener", self._listen),
                 ("redwingport_dispatch.process.time", clock),
                 ("redwingport_dispatch.process.secrets", ids),
                 (
@@ -370,6 +368,7 @@
         node.lifetime += 1
         node.busy_until = 0.0
         loop = VirtualLoop(self.world, node)
+        loop.connect, loop.listen = self._connect, self._listen
         node.loop = loop
         # Keeps the loop of an ended process until its tasks are cancelled.
         self._loops.append(Node(node.name, node.domain, loop))
@@ -469,10 +468,8 @@
         listener.accept(stream)
         return stream
 
-    async def _listen(self, local_host: str, local_port: int, reuse_port: bool) -> Listener:
-        node = _running_node()
-        listener = Listener(node)
-        self._listeners[node.name] = listener
+    def _listen(self, listener: Listener) -> Listener:
+        self._listeners[_running_node().name] = listener
         return listener
 
     def _time_ns(self) -> int:
--- a/packages/dispatch/tests/simulated_world.py
+++ b/packages/dispatch/tests/simulated_world.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
+import contextlib
 import heapq
 import itertools
 import random
 import selectors
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 
 import anyio
@@ -50,6 +51,8 @@
     def __init__(self, world: "World", node: "Node") -> None:
         self._world = world
         self.node = node
+        self.connect: Callable[[str, int], Awaitable[Stream]] | None = None
+        self.listen: Callable[[Listener], Listener] | None = None
         super().__init__(_IdleSelector())
 
     def time(self) -> float:
@@ -61,6 +64,19 @@
             return self._world.now
         return self._scheduled[0].when() if self._scheduled else None
 
+    async def create_connection(  # type: ignore[override]
+        self, factory: Callable[[], asyncio.Protocol], host: str, port: int
+    ) -> tuple["Transport", asyncio.Protocol]:
+        assert self.connect is not None
+        protocol = factory()
+        return Transport(self, protocol, await self.connect(host, port)), protocol
+
+    async def create_server(  # type: ignore[override]
+        self, factory: Callable[[], asyncio.Protocol], host: str, port: int, **options: object
+    ) -> "Listener":
+        assert self.listen is not None
+        return self.listen(Listener(self, factory))
+
     def step(self) -> None:
         """Run one iteration."""
         self.stop()
@@ -190,18 +206,10 @@
         self._last_arrival_at = 0.0
         self._received: deque[bytes | None] = deque()
         self._receiver: asyncio.Future[None] | None = None
-        self._is_reset = False
+        self.is_reset = False
         self._is_closed = False
 
-    async def send(self, data: bytes) -> None:
-        if self._is_closed:
-            raise anyio.ClosedResourceError
-        await anyio.sleep(0)
-        if self._is_reset:
-            raise anyio.BrokenResourceError
-        self._transmit(data)
-
-    async def receive(self, max_bytes: int = 65536) -> bytes:
+    async def receive(self) -> bytes:
         while not self._received:
             self._receiver = asyncio.get_running_loop().create_future()
             await self._receiver
@@ -213,20 +221,16 @@
             chunk += self._received.popleft() or b""
         return chunk
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
+        """Close the stream: its receiver reads the end, its sender is told of a reset."""
         if self._world.current is self._source and not self._is_closed:
             self._is_closed = True
-            self._transmit(None)
+            self.transmit(None)
         else:
-            self._is_reset = True
-
-    async def __aenter__(self) -> "Stream":
-        return self
-
-    async def __aexit__(self, *args: object) -> None:
-        await self.aclose()
+            self.is_reset = True
 
-    def _transmit(self, data: bytes | None) -> None:
+    def transmit(self, data: bytes | None) -> None:
+        """Send data, or the end of the stream."""
         if self._world.is_over:
             return
         self._unsent.append(data)
@@ -254,41 +258,82 @@
     def _arrive(self, data: bytes | None) -> None:
         target = self._target
         if target.lifetime != self._target_lifetime or not target.is_up:
-            self._is_reset = self._is_reset or target.is_up or target.refuses
+            self.is_reset = self.is_reset or target.is_up or target.refuses
             return
         self._received.append(data)
         if self._receiver is not None and not self._receiver.done():
             self._receiver.set_result(None)
 
 
+class Transport(asyncio.Transport):
+    """Carry the data of a protocol over a stream: as its sender, or as its receiver."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, protocol: asyncio.Protocol, stream: Stream
+    ):
+        super().__init__()
+        self._loop = loop
+        self._protocol = protocol
+        self._stream = stream
+        self._pump: asyncio.Task[None] | None = None
+        self._is_lost = False
+        protocol.connection_made(self)
+
+    def receive(self) -> None:
+        """Pass the data of the stream on to the protocol."""
+        self._pump = self._loop.create_task(self._receive())
+
+    def write(self, data: bytes) -> None:  # type: ignore[override]
+        if self._stream.is_reset:
+            self._lose(BrokenPipeError())
+        elif not self._is_lost:
+            self._stream.transmit(data)
+
+    def abort(self) -> None:
+        if not self._is_lost:
+            self._stream.close()
+            self._lose(None)
+
+    def pause_reading(self) -> None:
+        pass
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    async def _receive(self) -> None:
+        with contextlib.suppress(anyio.EndOfStream):
+            while not self._is_lost:
+                self._protocol.data_received(await self._stream.receive())
+        if not self._is_lost:
+            self._protocol.eof_received()
+            self._lose(None)
+
+    def _lose(self, error: Exception | None) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            if self._pump is not None:
+                self._pump.cancel()
+            self._loop.call_soon(self._protocol.connection_lost, error)
+
+
 class Listener:
     """Accept connections of other processes."""
 
-    def __init__(self, node: Node) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._streams: deque[Stream] = deque()
-        self._accepting: asyncio.Future[None] | None = None
-        self.node = node
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, factory: Callable[[], asyncio.Protocol]
+    ) -> None:
+        self._loop = loop
+        self._factory = factory
 
     def accept(self, stream: Stream) -> None:
-        self._streams.append(stream)
-        if self._accepting is not None and not self._accepting.done():
-            self._accepting.set_result(None)
+        """Open the receiving end of a stream in the process that listens."""
+        self._loop.call_soon(self._open, stream)
 
-    async def serve(
-        self, handler: Callable[[Stream], object], task_group: anyio.abc.TaskGroup
-    ) -> None:
-        while True:
-            while self._streams:
-                task_group.start_soon(handler, self._streams.popleft())  # type: ignore[arg-type]
-            self._accepting = self._loop.create_future()
-            await self._accepting
+    def close(self) -> None:
+        """Do nothing: the processes that listen are replaced as a whole."""
 
-    async def __aenter__(self) -> "Listener":
-        return self
-
-    async def __aexit__(self, *args: object) -> None:
-        pass
+    def _open(self, stream: Stream) -> None:
+        Transport(self._loop, self._factory(), stream).receive()
 
 
 @dataclass(eq=False)
