Send task events of an owner from one task instead of one for each batch

Change: one task of the owner waits for events and sends them, in the iteration of the event loop after the first one, as before. It ends with the owner, and its errors still end the owner.

Tried and not kept: one wake-up a second instead of ten in each of the three HTTP servers of a process, which wait to see whether they should exit.

--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -1,5 +1,6 @@
 """Owner of a shard: runs the scheduler and server sessions, and notifies holders."""
 
+import asyncio
 import logging
 from collections.abc import Callable, Mapping
 
@@ -77,6 +78,7 @@
         self._session_by_server: dict[str, ServerSession] = {}
         self._cancel_scope_by_server: dict[str, anyio.CancelScope] = {}
         self._events_by_holder: dict[str, list[tuple[int, int, TaskEvent, int, str]]] = {}
+        self._has_events = asyncio.Event()
         self._task_group: TaskGroup | None = None
         self._stopped = anyio.Event()
 
@@ -85,6 +87,7 @@
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
             self.update_servers(listing_by_id, store_is_fresh=True)
+            task_group.start_soon(self._send_events)
             task_group.start_soon(self._tick)
             await self._stopped.wait()
             task_group.cancel_scope.cancel()
@@ -275,13 +278,15 @@
         log_event(decisions, logging.INFO, event, term=self.term, **fields)
 
     def _add_event(self, work: Work, event: tuple[int, int, TaskEvent, int, str]) -> None:
-        if not self._events_by_holder and self._task_group is not None:
-            # Task events of one iteration of the event loop are sent in one message.
-            self._task_group.start_soon(self._flush_soon)
+        self._has_events.set()
         self._events_by_holder.setdefault(work.holder, []).append(event)
 
-    async def _flush_soon(self) -> None:
-        self._flush_task_events()
+    async def _send_events(self) -> None:
+        """Send the task events of one iteration of the event loop in one message."""
+        while True:
+            await self._has_events.wait()
+            self._has_events.clear()
+            self._flush_task_events()
 
     def _flush_task_events(self) -> None:
         events_by_holder, self._events_by_holder = self._events_by_holder, {}
