Answer a refused job as unknown once an earlier owner has had it

Callers could get 429 or 503, which promise that nothing has run, for a job of which an earlier owner had started a task.

A holder that has handed a work item over to another owner learns of starts at the earlier one only by its notifications, which may be lost with the link. It judged by those alone: when an owner refused the work item afterwards, or no owner was left before the deadline, the job ended as refused. The same held for a job whose first step was done when no owner could be reached for the next one.

Evidence: two tests of the holder, which got "refused" before: an owner that refused the work item gets it again after another owner had it, and repeats its refusal; and the further shard to which a handed-over work item is offered has no owner.

Every refusal by the holder now goes through one place, which answers "unknown" (504) if a task was reported as started, or if a work item of the job has ever been handed over. With it both tests pass, and the tests of packages/dispatch.

test_job_end_names_the_shards_that_refused_it began with the job submitted to an owner of another layout, which is such a handover; it expects a refusal, so it now begins without that owner.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -144,6 +144,13 @@
     ended: anyio.Event = field(default_factory=anyio.Event)
     work_by_step: dict[int, _HeldWork] = field(default_factory=dict)
 
+    def may_have_started(self) -> bool:
+        """Return whether any task has started as far as this process can know.
+
+        An earlier owner of a work item may have started tasks without this process hearing of it.
+        """
+        return self.started or any(work.earlier_owners for work in self.work_by_step.values())
+
 
 def response_target_s(route: Route, request: JobRequest) -> float:
     """Return the target response time of a job, in seconds.
@@ -324,7 +331,7 @@
     async def watch(self) -> None:
         """Submit work items that have reached no owner yet until the call is cancelled.
 
-        Their jobs are refused when they can no longer end in time by the declared run times.
+        Their jobs end when they can no longer be done in time by the declared run times.
         """
         while True:
             if not self._work_by_id:
@@ -437,8 +444,6 @@
             work.refused_shards += 1
             work.submitted_to = ("", 0)
             self._submit(work)
-        elif work.job.started:
-            self._end(work.job, JobEnd(Outcome.UNKNOWN, message.reason))
         else:
             self._refuse(work.job, message.reason, message.retry_after_s)
 
@@ -455,7 +460,11 @@
             self._end(work.job, JobEnd(Outcome.UNKNOWN, TOO_LATE))
 
     def _refuse(self, job: Job, reason: str, retry_after_s: int) -> None:
-        self._end(job, JobEnd(Outcome.REFUSED, reason, retry_after_s))
+        """End a job as refused, or as unknown if tasks of it may have started."""
+        if job.may_have_started():
+            self._end(job, JobEnd(Outcome.UNKNOWN, reason))
+        else:
+            self._end(job, JobEnd(Outcome.REFUSED, reason, retry_after_s))
 
     def _end_at_deadline(self, job: Job) -> None:
         submitted = any(work.submitted_to[0] for work in job.work_by_step.values())
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -265,6 +265,37 @@
     assert cancelled == {owner for owner, _ in submissions}
 
 
+def refuse_last_offer(holder: Holder, links: Links, term: int) -> None:
+    """Refuse the work item at the owner that it was submitted to last."""
+    owner = next(to for to, message in reversed(links.sent) if isinstance(message, SubmitWork))
+    holder.handle_notification(owner, WorkRefused(1, term, TOO_LATE, 1))
+
+
+async def test_job_that_an_earlier_owner_may_have_started_is_not_refused() -> None:
+    """Guard against a refusal, which promises that nothing has run, after a lost notification."""
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("p", 2)])
+        holder.set_owners([ShardOwner("o", 1)])
+        refuse_last_offer(holder, links, 1)
+
+    assert (await run_job(make_job(), script)).outcome is Outcome.UNKNOWN
+
+
+async def test_job_that_an_earlier_owner_may_have_started_is_not_refused_without_owner() -> None:
+    """Guard against a refusal, which promises that nothing has run, after a lost notification."""
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("p", 2), ShardOwner("p", 3)])
+        shard = links.submissions()[-1].shard
+        owners = [ShardOwner("", 0), ShardOwner("", 0)]
+        owners[shard] = ShardOwner("q", 4)
+        holder.set_owners(owners)
+        refuse_last_offer(holder, links, 4)
+
+    assert (await run_job(make_job(), script, owner="")).outcome is Outcome.UNKNOWN
+
+
 async def test_resubmitted_work_item_is_offered_to_same_shards_in_same_order() -> None:
     """A shard that started tasks of the first attempt does not refuse the second."""
 
@@ -327,7 +358,7 @@
             term = {"o": 1, "p": 2, "q": 3}[owner]
             holder.handle_notification(owner, WorkRefused(message.work_id, term, "too late", 1))
 
-    assert (await run_job(make_job(), script)).outcome is Outcome.REFUSED
+    assert (await run_job(make_job(), script, owner="")).outcome is Outcome.REFUSED
     [ended] = logged(caplog, "job-ended")
     assert isinstance(ended["refused_by"], list)
     assert len(set(ended["refused_by"])) == 2
