Mark offers to a further shard as resumed once owners have changed

A task could run twice when its work item went to a further shard after a change of owner.

A refusal cleared the owner to which the work item had been submitted last, and `resumed` was derived from that alone. So the further shard was told that nobody had started tasks of it, and started them at once, although an owner before the refusing one may have. The silence that a new owner deducts from its wait was likewise that of the last owner only: after two changes it could be longer than that of the owner before, which the holder still heard.

Evidence: two tests of the holder, failing before: the second offer after a change of owner had `resumed` false, and the third owner got 900 ms of silence although the first had been heard 100 ms before.

Both now count all owners that may have started tasks of the work item; the least silence is deducted. With it both tests pass, and the tests of packages/dispatch.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -116,6 +116,11 @@
     def done(self) -> bool:
         return all(task.done for task in self.task_by_index.values())
 
+    def previous_owners(self) -> set[str]:
+        """Return the incarnations of the owners that may have started tasks of it."""
+        owners = {owner for owner, _ in self.earlier_owners}
+        return owners | {self.submitted_to[0]} if self.submitted_to[0] else owners
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -368,6 +373,7 @@
             return
         shape = job.request.steps[work.step].shape
         now = anyio.current_time()
+        previous_owners = work.previous_owners()
         message = SubmitWork(
             work_id=work.work_id,
             job_id=job.job_id,
@@ -392,8 +398,8 @@
                 for index, task in work.task_by_index.items()
                 if not task.done
             ],
-            resumed=bool(work.submitted_to[0]),
-            unheard_ms=int(self._unheard_s(work.submitted_to[0]) * 1000),
+            resumed=bool(previous_owners),
+            unheard_ms=int(min(map(self._unheard_s, previous_owners), default=0.0) * 1000),
             more_offers=self._has_more_offers(work, TOO_LATE),
         )
         # Set before sending, because an owner in this process answers within the call.
@@ -438,7 +444,7 @@
             return
         work.refusing_shards.append(self._shard_of(work))
         if self._has_more_offers(work, message.reason):
-            # No task was started there. A resubmitted job is offered to the same shards in the
+            # This owner started no task. A resubmitted job is offered to the same shards in the
             # same order.
             work.refused_by.add(sender)
             work.refused_shards += 1
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -296,6 +296,40 @@
     assert (await run_job(make_job(), script, owner="")).outcome is Outcome.UNKNOWN
 
 
+async def test_offer_to_another_shard_after_a_change_of_owner_is_marked_as_resumed() -> None:
+    """Guard against a shard that starts at once what an earlier owner of another one may run."""
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("p", 2), ShardOwner("p", 3)])
+        first = links.submissions()[-1]
+        assert not first.resumed
+        holder.set_owners([ShardOwner("q", 4), ShardOwner("q", 5)])
+        refuse_last_offer(holder, links, 4 + first.shard)
+        second = links.submissions()[-1]
+        assert second.shard != first.shard
+        assert second.resumed
+        refuse_last_offer(holder, links, 4 + second.shard)
+
+    assert (await run_job(make_job(), script, owner="")).outcome is Outcome.UNKNOWN
+
+
+async def test_silence_of_the_earlier_owner_heard_last_counts() -> None:
+    """Guard against a wait that ends before the leases of an owner two changes ago."""
+    links = Links()
+    unheard_s = {"o": 0.1, "p": 0.9}
+    holder = Holder(
+        "me", links.send, lambda peer: unheard_s.get(peer, 0.0), lambda count: [1], Metrics()
+    )
+    holder.set_owners([ShardOwner("o", 1)])
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(holder.run, make_job())
+        await anyio.sleep(0.01)
+        holder.set_owners([ShardOwner("p", 2)])
+        holder.set_owners([ShardOwner("q", 3)])
+        task_group.cancel_scope.cancel()
+    assert [message.unheard_ms for message in links.submissions()] == [0, 100, 100]
+
+
 async def test_resubmitted_work_item_is_offered_to_same_shards_in_same_order() -> None:
     """A shard that started tasks of the first attempt does not refuse the second."""
 
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -76,7 +76,7 @@
     :param tasks: index, number of the next run and server of the last known run (or an empty
         string) of each open task.
     :param resumed: whether an earlier owner may have started tasks of this work item.
-    :param unheard_ms: time since the sender last received a heartbeat from the earlier owner, in
+    :param unheard_ms: time since the sender last received a heartbeat from any earlier owner, in
         milliseconds; 0 if there is none.
     :param more_offers: whether the sender offers the work item to another shard if this one
         refuses it.
