Wait for leases on servers of other shards after a change of layout

A task could run twice when the number of shards rose, or after a second offer.

A task that comes from an earlier owner without a known run started once all servers of the new owner's shard had reported, and none listed it.

Evidence: six processes, two shards that become three, the way from the owner to the holder cut for 0.4 s, and the servers with runs that leave the job's shard cut off.

The holder now remembers in which shard, of how many, the earlier owners had a work item, and SubmitWork says in `other_servers` whether that was another than the one asked. If so, such a task waits for the end of the earlier leases. A task with a known server waited for it before, as a server out of the shard never reports there.

Cost: tasks that wait in a queue when the number of shards rises wait about a second longer than the 0.2 s before.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -89,7 +89,9 @@
 
     :param submitted_to: incarnation and term of the owner to which it was sent last; empty and 0
         before the first submission and after a refusal.
+    :param submitted_shard: shard to which it was sent last, and the number of shards then.
     :param earlier_owners: incarnations and terms of earlier owners, which may still have it.
+    :param earlier_shards: shards of earlier owners, each with the number of shards then.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
     :param offers: number of shards to which it was offered, including repeated offers to one that
@@ -104,7 +106,9 @@
     step: int
     task_by_index: dict[int, _HeldTask]
     submitted_to: tuple[str, int] = ("", 0)
+    submitted_shard: tuple[int, int] = (0, 0)
     earlier_owners: set[tuple[str, int]] = field(default_factory=set)
+    earlier_shards: set[tuple[int, int]] = field(default_factory=set)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
     offers: int = 0
@@ -121,6 +125,13 @@
         owners = {owner for owner, _ in self.earlier_owners}
         return owners | {self.submitted_to[0]} if self.submitted_to[0] else owners
 
+    def previous_shards(self) -> set[tuple[int, int]]:
+        """Return the shards of these owners, each with the number of shards then."""
+        is_submitted = bool(self.submitted_to[0])
+        return (
+            self.earlier_shards | {self.submitted_shard} if is_submitted else self.earlier_shards
+        )
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -374,10 +385,11 @@
         shape = job.request.steps[work.step].shape
         now = anyio.current_time()
         previous_owners = work.previous_owners()
+        shard = (self._shard_of(work), len(self._shard_owners))
         message = SubmitWork(
             work_id=work.work_id,
             job_id=job.job_id,
-            shard=self._shard_of(work),
+            shard=shard[0],
             step=work.step,
             service=job.route.service,
             spec=job.request.spec,
@@ -400,20 +412,23 @@
             ],
             resumed=bool(previous_owners),
             unheard_ms=int(min(map(self._unheard_s, previous_owners), default=0.0) * 1000),
+            other_servers=any(previous != shard for previous in work.previous_shards()),
             more_offers=self._has_more_offers(work, TOO_LATE),
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
+        former_shard, work.submitted_shard = work.submitted_shard, shard
         counts = work.offers, work.handovers
         if not before[0]:
             work.offers += 1
         elif before != work.submitted_to:
             work.handovers += 1
         if not self._send(shard_owner.owner, message):
-            work.submitted_to = before
+            work.submitted_to, work.submitted_shard = before, former_shard
             work.offers, work.handovers = counts
         elif before[0] and before != (shard_owner.owner, shard_owner.term):
             work.earlier_owners.add(before)
+            work.earlier_shards.add(former_shard)
             work.earlier_owners.discard((shard_owner.owner, shard_owner.term))
             self._release(work, before[0])
 
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -185,6 +185,7 @@
             target_at=now + message.target_ms / 1000,
             deadline_at=now + message.deadline_ms / 1000,
             more_offers=message.more_offers,
+            other_servers=message.other_servers,
             task_by_index={index: Task(index, next_run) for index, next_run, _ in message.tasks},
         )
         placed_by_index = {index: server_id for index, _, server_id in message.tasks}
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -817,7 +817,9 @@
             listed = server is not None and server.acquired
             over = RunOver.SERVER_LISTED
         else:
-            listed = all(server.acquired for server in self.server_by_id.values())
+            listed = not work.other_servers and all(
+                server.acquired for server in self.server_by_id.values()
+            )
             over = RunOver.ALL_SERVERS_LISTED
         return (known or over) if listed else None
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -108,6 +108,8 @@
     :param target_at: monotonic time until which the answer is on time, in seconds.
     :param deadline_at: monotonic time until which the client waits for the answer, in seconds.
     :param more_offers: whether its holder offers it to another shard if this owner refuses it.
+    :param other_servers: whether a run of an earlier owner may be on a server that does not belong
+        to this shard.
     :param safe_at: monotonic time from which no run of an earlier owner can be left, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
@@ -129,6 +131,7 @@
     target_at: float
     deadline_at: float
     more_offers: bool = False
+    other_servers: bool = False
     safe_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -98,6 +98,7 @@
         unheard_s: float = 0.0,
         waited_s: float = 0.0,
         more_offers: bool = False,
+        other_servers: bool = False,
     ) -> Work:
         self._next_work += 1
         work = Work(
@@ -114,6 +115,7 @@
             target_at=self.now + target_s - waited_s,
             deadline_at=self.now + deadline_s - waited_s,
             more_offers=more_offers,
+            other_servers=other_servers,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
         self.scheduler.submit(work, placed or {}, resumed, self.now, unheard_s)
--- a/packages/dispatch/tests/simulated_cluster.py
+++ b/packages/dispatch/tests/simulated_cluster.py
@@ -448,6 +448,13 @@
     def is_owner(self, entry: Entry) -> bool:
         return any(entry in entries for entries in self.owners().values())
 
+    def raise_shards(self, entry: Entry, count: int) -> None:
+        """Let a process learn of a higher number of shards, which it tells the others."""
+        self.store.shard_count = count
+        assert entry.process is not None
+        assert entry.node.loop is not None
+        entry.node.loop.call_soon(entry.process._raise_shard_count, count)
+
     # Network of the processes
 
     async def _connect(self, host: str, port: int) -> Stream:
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -78,3 +78,26 @@
         cluster.world.run(4.0)
     assert cluster.monitor.starts > 2
     check(cluster)
+
+
+# Guards against a task that is started once the servers of its new shard have reported, while
+# its first run is on a server that belongs to another shard since the number of shards rose.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_job_whose_run_is_in_another_shard_of_the_new_layout_is_not_started(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=16, shards=2, timeout_s=5.0)
+    with cluster.running():
+        owner, holder, others = owner_and_holder(cluster)
+        for server in cluster.server_by_id.values():
+            server.slowness = 3.0
+        # The holder hears of no start, but does not count the owner as lost.
+        cluster.cut_pairs([owner.node.name], [holder.node.name], 0.4, both=False)
+        for _ in range(3):
+            cluster.submit(LONG, holder.node.domain, holder, shard=0)
+        cluster.world.run(0.05)
+        cluster.raise_shards(others[0], 3)
+        for server in cluster.servers_of(1) + cluster.servers_of(2):
+            if server.run_by_task:
+                cluster.cut_server(server.node.name, 4.0)
+        cluster.world.run(5.0)
+    assert cluster.monitor.starts > 2
+    check(cluster)
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -313,6 +313,35 @@
     assert (await run_job(make_job(), script, owner="")).outcome is Outcome.UNKNOWN
 
 
+async def test_owner_is_told_whether_earlier_owners_had_other_servers() -> None:
+    """Guard against a start judged by the lists of this shard's servers alone."""
+
+    def script(holder: Holder, links: Links) -> None:
+        assert not links.submissions()[-1].other_servers
+        holder.set_owners([ShardOwner("p", 2)])
+        assert not links.submissions()[-1].other_servers
+        holder.set_owners([ShardOwner("q", 3), ShardOwner("q", 4)])
+        assert links.submissions()[-1].other_servers
+        holder.set_owners([ShardOwner("r", 5), ShardOwner("r", 6)])
+        message = links.submissions()[-1]
+        assert message.other_servers
+        assert message.resumed
+
+    await run_job(make_job(), script)
+
+
+async def test_offer_to_another_shard_tells_that_the_earlier_owner_had_other_servers() -> None:
+    """Guard against a start judged by the lists of this shard's servers alone."""
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.set_owners([ShardOwner("p", 2), ShardOwner("p", 3)])
+        holder.set_owners([ShardOwner("q", 4), ShardOwner("q", 5)])
+        refuse_last_offer(holder, links, 4 + links.submissions()[-1].shard)
+        assert links.submissions()[-1].other_servers
+
+    await run_job(make_job(), script, owner="")
+
+
 async def test_silence_of_the_earlier_owner_heard_last_counts() -> None:
     """Guard against a wait that ends before the leases of an owner two changes ago."""
     links = Links()
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -80,6 +80,7 @@
         tasks=[(0, 1, "")],
         resumed=False,
         unheard_ms=0,
+        other_servers=False,
         more_offers=False,
     )
     owner.submit("holder", work)
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -229,6 +229,19 @@
     assert len(harness.effects.started) == 1
 
 
+def test_resumed_task_waits_for_leases_on_servers_of_other_shards() -> None:
+    """Guard against a second run after the number of shards has risen.
+
+    The servers of this shard have all reported, but the run is on a server of another one.
+    """
+    harness = SchedulerHarness(servers=2)
+    harness.submit("job", resumed=True, deadline_s=5, other_servers=True)
+    harness.advance(1.0)
+    assert not harness.effects.started
+    harness.advance(0.1)
+    assert [run.after for run in harness.effects.started] == [RunOver.EARLIER_LEASES_ENDED]
+
+
 def test_job_is_abandoned_early_when_a_task_cannot_start_safely_in_time() -> None:
     harness = SchedulerHarness(servers=2)
     harness.scheduler.server_by_id["s1"].acquired = False
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -78,6 +78,8 @@
     :param resumed: whether an earlier owner may have started tasks of this work item.
     :param unheard_ms: time since the sender last received a heartbeat from any earlier owner, in
         milliseconds; 0 if there is none.
+    :param other_servers: whether an earlier owner may have started tasks on servers that do not
+        belong to this shard.
     :param more_offers: whether the sender offers the work item to another shard if this one
         refuses it.
     """
@@ -103,6 +105,7 @@
     tasks: list[tuple[Count, Count, str]]
     resumed: bool
     unheard_ms: Count
+    other_servers: bool
     more_offers: bool
 
 
