--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -90,7 +90,9 @@
 
     :param submitted_to: incarnation and term of the owner to which it was sent last; empty and 0
         before the first submission and after a refusal.
+    :param submitted_shard: shard to which it was sent last, and the number of shards then.
     :param earlier_owners: incarnations and terms of earlier owners, which may still have it.
+    :param earlier_shards: shards of earlier owners, each with the number of shards then.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
     :param offers: number of shards to which it was offered, including repeated offers to one that
@@ -105,7 +107,9 @@
     step: int
     task_by_index: dict[int, _HeldTask]
     submitted_to: tuple[str, int] = ("", 0)
+    submitted_shard: tuple[int, int] = (0, 0)
     earlier_owners: set[tuple[str, int]] = field(default_factory=set)
+    earlier_shards: set[tuple[int, int]] = field(default_factory=set)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
     offers: int = 0
@@ -117,6 +121,18 @@
     def done(self) -> bool:
         return all(task.done for task in self.task_by_index.values())
 
+    def previous_owners(self) -> set[str]:
+        """Return the incarnations of the owners that may have started tasks of it."""
+        owners = {owner for owner, _ in self.earlier_owners}
+        return owners | {self.submitted_to[0]} if self.submitted_to[0] else owners
+
+    def previous_shards(self) -> set[tuple[int, int]]:
+        """Return the shards of these owners, each with the number of shards then."""
+        is_submitted = bool(self.submitted_to[0])
+        return (
+            self.earlier_shards | {self.submitted_shard} if is_submitted else self.earlier_shards
+        )
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -145,6 +161,13 @@
     ended: anyio.Event = field(default_factory=anyio.Event)
     work_by_step: dict[int, _HeldWork] = field(default_factory=dict)
 
+    def may_have_started(self) -> bool:
+        """Return whether any task has started as far as this process can know.
+
+        An earlier owner of a work item may have started tasks without this process hearing of it.
+        """
+        return self.started or any(work.earlier_owners for work in self.work_by_step.values())
+
 
 def response_target_s(route: Route, request: JobRequest) -> float:
     """Return the target response time of a job, in seconds.
@@ -325,7 +348,7 @@
     async def watch(self) -> None:
         """Submit work items that have reached no owner yet until the call is cancelled.
 
-        Their jobs are refused when they can no longer end in time by the declared run times.
+        Their jobs end when they can no longer be done in time by the declared run times.
         """
         while True:
             if not self._work_by_id:
@@ -362,10 +385,12 @@
             return
         shape = job.request.steps[work.step].shape
         now = current_time()
+        previous_owners = work.previous_owners()
+        shard = (self._shard_of(work), len(self._shard_owners))
         message = SubmitWork(
             work_id=work.work_id,
             job_id=job.job_id,
-            shard=self._shard_of(work),
+            shard=shard[0],
             step=work.step,
             service=job.route.service,
             spec=job.request.spec,
@@ -386,22 +411,25 @@
                 for index, task in work.task_by_index.items()
                 if not task.done
             ],
-            resumed=bool(work.submitted_to[0]),
-            unheard_ms=int(self._unheard_s(work.submitted_to[0]) * 1000),
+            resumed=bool(previous_owners),
+            unheard_ms=int(min(map(self._unheard_s, previous_owners), default=0.0) * 1000),
+            other_servers=any(previous != shard for previous in work.previous_shards()),
             more_offers=self._has_more_offers(work, TOO_LATE),
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
+        former_shard, work.submitted_shard = work.submitted_shard, shard
         counts = work.offers, work.handovers
         if not before[0]:
             work.offers += 1
         elif before != work.submitted_to:
             work.handovers += 1
         if not self._send(shard_owner.owner, message):
-            work.submitted_to = before
+            work.submitted_to, work.submitted_shard = before, former_shard
             work.offers, work.handovers = counts
         elif before[0] and before != (shard_owner.owner, shard_owner.term):
             work.earlier_owners.add(before)
+            work.earlier_shards.add(former_shard)
             work.earlier_owners.discard((shard_owner.owner, shard_owner.term))
             self._release(work, before[0])
 
@@ -432,14 +460,12 @@
             return
         work.refusing_shards.append(self._shard_of(work))
         if self._has_more_offers(work, message.reason):
-            # No task was started there. A resubmitted job is offered to the same shards in the
+            # This owner started no task. A resubmitted job is offered to the same shards in the
             # same order.
             work.refused_by.add(sender)
             work.refused_shards += 1
             work.submitted_to = ("", 0)
             self._submit(work)
-        elif work.job.started:
-            self._end(work.job, JobEnd(Outcome.UNKNOWN, message.reason))
         else:
             self._refuse(work.job, message.reason, message.retry_after_s)
 
@@ -456,7 +482,11 @@
             self._end(work.job, JobEnd(Outcome.UNKNOWN, TOO_LATE))
 
     def _refuse(self, job: Job, reason: str, retry_after_s: int) -> None:
-        self._end(job, JobEnd(Outcome.REFUSED, reason, retry_after_s))
+        """End a job as refused, or as unknown if tasks of it may have started."""
+        if job.may_have_started():
+            self._end(job, JobEnd(Outcome.UNKNOWN, reason))
+        else:
+            self._end(job, JobEnd(Outcome.REFUSED, reason, retry_after_s))
 
     def _end_at_deadline(self, job: Job) -> None:
         submitted = any(work.submitted_to[0] for work in job.work_by_step.values())
