--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -338,7 +338,7 @@
                     self._submit(work)
             elif event == "done":
                 if not task.done:
-                    task.done, task.done_run, task.done_at = True, run_number, anyio.current_time()
+                    task.done, task.done_run, task.done_at = True, run_number, current_time()
                     task.placed_on = server_id or task.placed_on
                 self._finish_work(work)
             else:
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -437,7 +437,7 @@
         for incarnation, view in list(self._election.peer_by_incarnation.items()):
             same_address = view.presence.address == presence.address
             if same_address and incarnation != presence.incarnation:
-                unheard_s = self._election.unheard_s(incarnation, anyio.current_time())
+                unheard_s = self._election.unheard_s(incarnation, current_time())
                 self._election.remove_peer(incarnation)
                 self._reachable_peers.discard(incarnation)
                 self._drop_holder(incarnation, unheard_s)
