Refuse waiting work items that would be late while others wait

Callers saw: under load the largest jobs of the lowest priority were refused as too late, after a wait of 0.45 s (median).

Cause: an arriving work item that would be late is refused while others wait, but one that waited already was kept until three times its target. Late work items of a higher priority stayed ahead of long ones of a lower priority that could still have been in time.

Evidence: at a refusal of one of the largest jobs (load 1.6) 20 to 50 tasks of higher priorities waited ahead of it, with few of its own priority.

Change: the limit on arrival holds while a work item waits, too. One that is the only one waiting, or that was late on arrival, is kept as before.

Why it works: what is ahead in the queue can be in time, so a queue that cannot be served in time becomes shorter at once.

The test fails without the change (nothing is refused).

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
@@ -85,24 +85,20 @@
 
 
 def latest_useful_end(work: Work) -> float:
-    """Return the monotonic time after which a waiting work item is refused, in seconds.
-
-    Work items that arrived later may have overtaken it, so the limit is more generous than on
-    arrival. Even later answers help the client little and delay everything behind in the queue.
-    """
+    """Return the monotonic time after which the answer to a work item is of no use, in seconds."""
     target_s = work.target_at - work.received_at
     return min(work.deadline_at, work.received_at + USEFUL_TARGET_FACTOR * target_s)
 
 
-def latest_end_on_arrival(work: Work, others_wait: bool) -> float:
-    """Return the latest useful end, in monotonic seconds, of a work item that has to wait.
+def latest_end(work: Work, others_wait: bool) -> float:
+    """Return the latest end, in monotonic seconds, of a work item that has to wait.
 
-    An arriving work item that would end later is refused. A late answer helps its client more
-    than none, but while others wait it makes them late too. A work item that is late already,
-    because there was no owner for a while, uses only the capacity left by those that can still
-    meet their targets.
+    A work item that would end later is refused, on arrival or while it waits. A late answer helps
+    its client more than none, but while others wait it makes them late too, above all those of a
+    lower priority whose tasks are long. A work item that was late on arrival, because there was no
+    owner for a while, uses only the capacity left by those that can still meet their targets.
 
-    :param work: the arriving work item.
+    :param work: the waiting work item.
     :param others_wait: whether other work items wait for servers.
     """
     if others_wait and not work.late:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
@@ -1,5 +1,6 @@
 """Refusal and abandonment of work items, on arrival and while they wait."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -78,7 +79,9 @@
     def review(self, queue: Iterable[Work], now: float) -> None:
         """Review the waiting work items, in queue order."""
         demand_by_service: dict[str, _QueuedDemand] = {}
-        for work in queue:
+        works = list(queue)
+        waiting_by_service = Counter(work.service for work in works)
+        for work in works:
             demand = demand_by_service.get(work.service)
             if demand is None:
                 demand = _QueuedDemand(self._forecast(work.service, now))
@@ -89,9 +92,11 @@
             elif demand.forecast is None:
                 self._refuse_without_server(work)
             else:
-                limit_at = admission.latest_useful_end(work)
+                others_wait = waiting_by_service[work.service] > 1
+                limit_at = admission.latest_end(work, others_wait)
                 if self._refuse_late(work, demand.forecast, demand.wait_s(work), limit_at, now):
                     demand.add(work, -1)
+                    waiting_by_service[work.service] -= 1
 
     def review_blocked(self, works: Sequence[Work], now: float) -> None:
         """Review the work items whose tasks wait for the end of earlier runs."""
@@ -123,7 +128,7 @@
         demand = _QueuedDemand(forecast)
         for other in waiting[: waiting.index(work) + 1]:
             demand.add(other)
-        limit_at = admission.latest_end_on_arrival(work, others_wait=len(waiting) > 1)
+        limit_at = admission.latest_end(work, others_wait=len(waiting) > 1)
         return self._refuse_late(work, forecast, demand.wait_s(work), limit_at, now)
 
     def _forecast(self, service: str, now: float) -> CapacityForecast | None:
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -383,3 +383,14 @@
     assert [job_id for job_id, _, _ in harness.effects.refused] == ["another"], (
         "both would be late"
     )
+
+
+def test_waiting_job_that_would_be_late_is_refused_while_others_wait() -> None:
+    """Late jobs of a high priority kept the servers from long ones of a low priority."""
+    harness = SchedulerHarness(servers=1, cpu_millis=14000)
+    harness.submit("running", tasks=2, estimate_s=0.2, deadline_s=10)
+    harness.submit("note", estimate_s=0.2, target_s=0.5, priority=1)
+    harness.submit("long", estimate_s=0.5, target_s=1.3, priority=2)
+    harness.submit("check", tasks=2, estimate_s=0.2, target_s=0.5)
+    harness.advance(0.0)
+    assert [job_id for job_id, _, _ in harness.effects.refused] == ["note"]
