Leave out servers on which a task may miss its deadline

Callers saw: accepted jobs of long tasks ended without an answer: a task ran on a slow server and missed the deadline there.

Cause: a slow server was left out only if the declared run time missed the deadline there. Declared run times are off by a factor of 1.5, so a task that was declared too short ran there in vain.

Change: a server counts as certain only if 1.5 times the expected run time ends by the deadline. Others are left out while a certain one exists, busy or not; then the former rules hold.

Why it works: the task waits for a fast server while it can still meet its deadline there, and uses what is left when it cannot.

The test fails without the change.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
@@ -9,6 +9,10 @@
 from redwingport_dispatch.scheduling.work import Work
 from redwingport_policy.ejection import Ejector
 
+# Factor by which a run may exceed its expected time and still meet the deadline, for its server to
+# count as certain to meet it. Declared run times are off by a factor of 1.5 in either direction.
+DEADLINE_MARGIN = 1.5
+
 
 class ServerFinder:
     """Find servers for tasks.
@@ -36,8 +40,8 @@
     ) -> dict[ServerState, float]:
         """Return the servers with capacity for a task, and its expected run time on each.
 
-        A server that would miss the deadline is omitted while a faster one, which has no capacity
-        now, can still meet it.
+        A server that might miss the deadline is omitted while a faster one, which has no capacity
+        now, can still meet it with certainty.
 
         :param work: the work item of the task.
         :param slowness_by_server: usable servers and their likely slowness.
@@ -52,19 +56,22 @@
             and _could_run(server, work)
             and self.accepts(server, work, now)
         }
+        if not run_s_by_server:
+            return run_s_by_server
         left_s = work.deadline_at - now
-        if all(run_s <= left_s for run_s in run_s_by_server.values()):
+        if max(run_s_by_server.values()) * DEADLINE_MARGIN <= left_s:
             return run_s_by_server
-        any_in_time = any(
-            self.expected_run_s(server, work, slowness) <= left_s
+        fastest_s = min(
+            self.expected_run_s(server, work, slowness)
             for server, slowness in slowness_by_server.items()
             if _could_run(server, work)
         )
         # If no server is expected to meet the deadline, keep those that may meet it, because
         # declared run times are inaccurate.
-        share = 1.0 if any_in_time else MIN_RUN_TIME_SHARE
+        factors = (DEADLINE_MARGIN, 1.0, MIN_RUN_TIME_SHARE)
+        factor = next((f for f in factors if fastest_s * f <= left_s), MIN_RUN_TIME_SHARE)
         return {
-            server: run_s for server, run_s in run_s_by_server.items() if run_s * share <= left_s
+            server: run_s for server, run_s in run_s_by_server.items() if run_s * factor <= left_s
         }
 
     def accepts(self, server: ServerState, work: Work, now: float) -> bool:
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -394,3 +394,17 @@
     harness.submit("check", tasks=2, estimate_s=0.2, target_s=0.5)
     harness.advance(0.0)
     assert [job_id for job_id, _, _ in harness.effects.refused] == ["note"]
+
+
+def test_task_that_may_miss_its_deadline_on_a_slow_server_waits_for_a_fast_one() -> None:
+    """Long tasks that were declared too short ran in vain on slow servers."""
+    harness = harness_with_two_kinds(fast=1, slow=1)
+    harness.submit("other", tasks=2, estimate_s=0.85, target_s=1.0, deadline_s=10)
+    assert {run.server_id for run in harness.effects.started} == {"fast0"}
+    harness.submit("long", estimate_s=0.7, target_s=1.5, deadline_s=1.5)
+    assert len(harness.effects.started) == 2, "it may take 1.8 s on the slow server"
+    harness.accept_all()
+    harness.now += 0.6
+    harness.end(harness.effects.started[0])
+    assert harness.effects.started[-1].task_name == "long.0.0.0"
+    assert harness.effects.started[-1].server_id == "fast0"
