Accept a work item refused elsewhere only where it need not wait

Cause: when all shards were overloaded, a work item that one refused was queued at the next, ahead of work items that were offered there first. Each shard got up to twice its arrivals.

Change: the holder says in `refused_for_load` that another shard has refused the work item for its load; the owner then refuses it unless all its tasks have a slot at once. Refusals for lack of a suitable server don't count. Order and number of the offers are the same, and work items with a started task are still taken.

Why it works: a second offer takes capacity that is free, not that of others.

The test fails without the change.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -85,6 +85,7 @@
         before the first submission and after a refusal.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
+    :param refused_for_load: whether one of them has refused it for its load.
     """
 
     work_id: int
@@ -94,6 +95,7 @@
     submitted_to: tuple[str, int] = ("", 0)
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
+    refused_for_load: bool = False
 
     @property
     def done(self) -> bool:
@@ -232,6 +234,7 @@
         if len(work.shards) != count:
             work.shards = rank_shards(work.job.job_id, self._shard_sizes(count))
             work.refused_shards = 0
+            work.refused_for_load = False
         return work.shards[work.refused_shards]
 
     def _owner_of(self, work: _HeldWork) -> ShardOwner:
@@ -333,6 +336,7 @@
             ],
             resumed=bool(work.submitted_to[0]),
             unheard_ms=int(self._unheard_s(work.submitted_to[0]) * 1000),
+            refused_for_load=work.refused_for_load,
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
@@ -361,6 +365,7 @@
         offers = len(self._shard_owners)
         if message.reason not in (FITS_ON_NO_SERVER, NO_SERVER):
             offers = min(offers, MAX_OFFERS_UNDER_LOAD)
+            work.refused_for_load = True
         if work.refused_shards + 1 < offers:
             # No task was started there. A resubmitted job is offered to the same shards in the
             # same order.
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -183,6 +183,7 @@
             received_at=now - message.waited_ms / 1000,
             target_at=now + message.target_ms / 1000,
             deadline_at=now + message.deadline_ms / 1000,
+            refused_for_load=message.refused_for_load,
             task_by_index={index: Task(index, next_run) for index, next_run, _ in message.tasks},
         )
         placed_by_index = {index: server_id for index, _, server_id in message.tasks}
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
@@ -128,8 +128,17 @@
         demand = _QueuedDemand(forecast)
         for other in waiting[: waiting.index(work) + 1]:
             demand.add(other)
+        wait_s = demand.wait_s(work)
+        if work.refused_for_load and wait_s > 0:
+            self._scheduler.refuse(
+                work,
+                admission.TOO_LATE,
+                admission.retry_after_s(wait_s),
+                {"expected_wait_s": round(wait_s, 4), "usable_servers": forecast.server_count},
+            )
+            return True
         limit_at = admission.latest_end(work, others_wait=len(waiting) > 1)
-        return self._refuse_late(work, forecast, demand.wait_s(work), limit_at, now)
+        return self._refuse_late(work, forecast, wait_s, limit_at, now)
 
     def _forecast(self, service: str, now: float) -> CapacityForecast | None:
         servers = self._scheduler.usable_servers(now)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -76,6 +76,7 @@
     :param received_at: monotonic time at which its holder received the job, in seconds.
     :param target_at: monotonic time until which the answer is on time, in seconds.
     :param deadline_at: monotonic time until which the client waits for the answer, in seconds.
+    :param refused_for_load: whether another shard has refused it for its load.
     :param safe_at: monotonic time from which no run of an earlier owner can be left, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
@@ -95,6 +96,7 @@
     received_at: float
     target_at: float
     deadline_at: float
+    refused_for_load: bool = False
     safe_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -95,6 +95,7 @@
         attempts: int = 3,
         unheard_s: float = 0.0,
         waited_s: float = 0.0,
+        refused_for_load: bool = False,
     ) -> Work:
         self._next_work += 1
         work = Work(
@@ -110,6 +111,7 @@
             received_at=self.now - waited_s,
             target_at=self.now + target_s - waited_s,
             deadline_at=self.now + deadline_s - waited_s,
+            refused_for_load=refused_for_load,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
         self.scheduler.submit(work, placed or {}, resumed, self.now, unheard_s)
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -183,6 +183,7 @@
         assert isinstance(second[1], SubmitWork)
         assert second[1].shard == 1 - first[1].shard
         assert not second[1].resumed
+        assert not second[1].refused_for_load
         holder.handle_notification(other, WorkRefused(1, term, "fits on no server", 10))
 
     end = await run_job(make_job(), script, owner="")
@@ -200,6 +201,7 @@
             owner, message = links.sent[-1]
             assert isinstance(message, SubmitWork)
             assert not message.resumed
+            assert message.refused_for_load == bool(offers)
             assert owner == shard_owners[message.shard].owner
             offers.append((owner, message.shard))
             holder.handle_notification(
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -408,3 +408,14 @@
     harness.end(harness.effects.started[0])
     assert harness.effects.started[-1].task_name == "long.0.0.0"
     assert harness.effects.started[-1].server_id == "fast0"
+
+
+def test_job_refused_by_another_shard_is_accepted_only_where_it_need_not_wait() -> None:
+    """Overloaded shards passed jobs on to each other, which made them all late."""
+    harness = SchedulerHarness(servers=1, cpu_millis=14000)
+    harness.submit("first", estimate_s=0.2, refused_for_load=True)
+    harness.submit("own", estimate_s=0.2)
+    harness.submit("second", estimate_s=0.2, refused_for_load=True)
+    harness.submit("waiting", estimate_s=0.2)
+    assert len(harness.effects.started) == 2
+    assert [job_id for job_id, _, _ in harness.effects.refused] == ["second"]
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -78,6 +78,7 @@
     :param resumed: whether an earlier owner may have started tasks of this work item.
     :param unheard_ms: time since the sender last received a heartbeat from the earlier owner, in
         milliseconds; 0 if there is none.
+    :param refused_for_load: whether another shard has refused the work item for its load.
     """
 
     work_id: Count
@@ -101,6 +102,7 @@
     tasks: list[tuple[Count, Count, str]]
     resumed: bool
     unheard_ms: Count
+    refused_for_load: bool = False
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
