Queue larger work items of a priority nearly in order of arrival

Cause: within a priority a second of waiting offset a quarter of a second of declared run time. Jobs have 1.55 s, so a larger job waited behind every smaller one of its kind, including those that came seconds later, until it was too late for it.

Change: a second of waiting offsets four seconds of declared run time. Between jobs that come together the shorter still goes first; priorities stay strict.

Why it works: jobs of one kind wait for about the same time whatever their size.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/queue.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/queue.py
@@ -8,7 +8,7 @@
 
 # Seconds of declared run time that one second of waiting offsets. Ageing lets a long task
 # overtake newer short ones, so that a long burst of short tasks does not starve it.
-AGEING_RATE = 0.25
+AGEING_RATE = 4.0
 
 Rank = tuple[bool, int, bool, float, int]
 
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -419,3 +419,15 @@
     harness.submit("waiting", estimate_s=0.2)
     assert len(harness.effects.started) == 2
     assert [job_id for job_id, _, _ in harness.effects.refused] == ["second"]
+
+
+def test_large_job_is_not_overtaken_by_smaller_ones_that_arrive_later() -> None:
+    """The largest jobs of a kind waited behind the others until it was too late for them."""
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    harness.submit("running", estimate_s=0.4)
+    harness.submit("large", estimate_s=0.9, target_s=1.5, deadline_s=3)
+    harness.now += 0.3
+    harness.submit("small", estimate_s=0.5, target_s=1.5, deadline_s=3)
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
+    assert harness.effects.started[1].task_name == "large.0.0.0"
