--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -100,6 +100,7 @@
     :param refusing_shards: shards that have refused it, in any layout.
     :param handovers: number of times that it was handed over to another owner.
     :param refused_by: incarnations of the owners that refused it and remember the refusal.
+    :param refused_for_load: whether one of them has refused it for its load.
     """
 
     work_id: int
@@ -116,6 +117,7 @@
     refusing_shards: list[int] = field(default_factory=list)
     handovers: int = 0
     refused_by: set[str] = field(default_factory=set)
+    refused_for_load: bool = False
 
     @property
     def done(self) -> bool:
@@ -308,6 +310,7 @@
         if len(work.shards) != count:
             work.shards = rank_shards(work.job.job_id, self._shard_sizes(count))
             work.refused_shards = 0
+            work.refused_for_load = False
         return work.shards[work.refused_shards]
 
     def _owner_of(self, work: _HeldWork) -> ShardOwner:
@@ -415,6 +418,7 @@
             unheard_ms=int(min(map(self._unheard_s, previous_owners), default=0.0) * 1000),
             other_servers=any(previous != shard for previous in work.previous_shards()),
             more_offers=self._has_more_offers(work, TOO_LATE),
+            refused_for_load=work.refused_for_load,
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
@@ -459,6 +463,8 @@
         if work is None or work.submitted_to != (sender, message.term):
             return
         work.refusing_shards.append(self._shard_of(work))
+        if message.reason not in (FITS_ON_NO_SERVER, NO_SERVER):
+            work.refused_for_load = True
         if self._has_more_offers(work, message.reason):
             # This owner started no task. A resubmitted job is offered to the same shards in the
             # same order.
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -110,6 +110,7 @@
     :param more_offers: whether its holder offers it to another shard if this owner refuses it.
     :param other_servers: whether a run of an earlier owner may be on a server that does not belong
         to this shard.
+    :param refused_for_load: whether another shard has refused it for its load.
     :param safe_at: monotonic time from which no run of an earlier owner can be left, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
@@ -132,6 +133,7 @@
     deadline_at: float
     more_offers: bool = False
     other_servers: bool = False
+    refused_for_load: bool = False
     safe_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -99,6 +99,7 @@
         waited_s: float = 0.0,
         more_offers: bool = False,
         other_servers: bool = False,
+        refused_for_load: bool = False,
     ) -> Work:
         self._next_work += 1
         work = Work(
@@ -116,6 +117,7 @@
             deadline_at=self.now + deadline_s - waited_s,
             more_offers=more_offers,
             other_servers=other_servers,
+            refused_for_load=refused_for_load,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
         self.scheduler.submit(work, placed or {}, resumed, self.now, unheard_s)
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -82,6 +82,7 @@
         unheard_ms=0,
         other_servers=False,
         more_offers=False,
+        refused_for_load=False,
     )
     owner.submit("holder", work)
     assert notifications == []
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -422,3 +422,51 @@
     harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
     harness.submit("job", holder="second", more_offers=True)
     assert len(harness.effects.refused) == 1
+
+
+def test_waiting_job_that_would_be_late_is_refused_while_others_wait() -> None:
+    """Late jobs of a high priority kept the servers from long ones of a low priority."""
+    harness = SchedulerHarness(servers=1, cpu_millis=14000)
+    harness.submit("running", tasks=2, estimate_s=0.2, deadline_s=10)
+    harness.submit("note", estimate_s=0.2, target_s=0.5, priority=1)
+    harness.submit("long", estimate_s=0.5, target_s=1.3, priority=2)
+    harness.submit("check", tasks=2, estimate_s=0.2, target_s=0.5)
+    harness.advance(0.0)
+    assert [job_id for job_id, _, _ in harness.effects.refused] == ["note"]
+
+
+def test_task_that_may_miss_its_deadline_on_a_slow_server_waits_for_a_fast_one() -> None:
+    """Long tasks that were declared too short ran in vain on slow servers."""
+    harness = harness_with_two_kinds(fast=1, slow=1)
+    harness.submit("other", tasks=2, estimate_s=0.85, target_s=1.0, deadline_s=10)
+    assert {run.server_id for run in harness.effects.started} == {"fast0"}
+    harness.submit("long", estimate_s=0.7, target_s=1.5, deadline_s=1.5)
+    assert len(harness.effects.started) == 2, "it may take 1.8 s on the slow server"
+    harness.accept_all()
+    harness.now += 0.6
+    harness.end(harness.effects.started[0])
+    assert harness.effects.started[-1].task_name == "long.0.0.0"
+    assert harness.effects.started[-1].server_id == "fast0"
+
+
+def test_job_refused_by_another_shard_is_accepted_only_where_it_need_not_wait() -> None:
+    """Overloaded shards passed jobs on to each other, which made them all late."""
+    harness = SchedulerHarness(servers=1, cpu_millis=14000)
+    harness.submit("first", estimate_s=0.2, refused_for_load=True)
+    harness.submit("own", estimate_s=0.2)
+    harness.submit("second", estimate_s=0.2, refused_for_load=True)
+    harness.submit("waiting", estimate_s=0.2)
+    assert len(harness.effects.started) == 2
+    assert [job_id for job_id, _, _ in harness.effects.refused] == ["second"]
+
+
+def test_large_job_is_not_overtaken_by_smaller_ones_that_arrive_later() -> None:
+    """The largest jobs of a kind waited behind the others until it was too late for them."""
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    harness.submit("running", estimate_s=0.4)
+    harness.submit("large", estimate_s=0.9, target_s=1.5, deadline_s=3)
+    harness.now += 0.3
+    harness.submit("small", estimate_s=0.5, target_s=1.5, deadline_s=3)
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
+    assert harness.effects.started[1].task_name == "large.0.0.0"
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -82,6 +82,7 @@
         belong to this shard.
     :param more_offers: whether the sender offers the work item to another shard if this one
         refuses it.
+    :param refused_for_load: whether another shard has refused the work item for its load.
     """
 
     work_id: Count
@@ -107,6 +108,7 @@
     unheard_ms: Count
     other_servers: bool
     more_offers: bool
+    refused_for_load: bool
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
