Start tasks of ended simulated processes before they are cancelled

Test runs warned that the coroutine ServerSession._stop was never awaited.

The simulated cluster ends its processes by cancelling all tasks of their loops in each iteration. A holder whose job is cancelled then orders stops, and these tasks were cancelled before their first step. The product code loses no order there: it ends tasks by cancel scopes, and anyio cancels none that has not started.

The new test of until_done fails without the change.

until_done now leaves out tasks that have not started, as cancel scopes do.

--- a/packages/dispatch/tests/simulated_world.py
+++ b/packages/dispatch/tests/simulated_world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import heapq
+import inspect
 import itertools
 import random
 import selectors
@@ -666,7 +667,9 @@
         if not tasks:
             break
         for task in tasks:
-            task.cancel()
+            # Like a cancel scope: a task is not cancelled before its first step.
+            if inspect.getcoroutinestate(task.get_coro()) != inspect.CORO_CREATED:
+                task.cancel()
         world.now += 0.01
         world.step(node)
         yield
--- a/packages/dispatch/tests/test_cluster_simulation.py
+++ b/packages/dispatch/tests/test_cluster_simulation.py
@@ -1,7 +1,10 @@
 """Tasks of a large system under faults: no task ever has two runs at the same time."""
 
+import asyncio
+
 import pytest
 from simulated_cluster import MEDIUM, SHORT, Cluster
+from simulated_world import Node, VirtualLoop, World, until_done
 
 # More than 13 processes, so that hubs and long heartbeat intervals are in use.
 LARGE = (4, 4, 4, 4)
@@ -63,3 +66,29 @@
         cut_holders_from_owners(cluster)
     assert cluster.monitor.starts
     check(cluster)
+
+
+# Guards against coroutines that are never awaited because their process is ended right before.
+def test_tasks_created_while_a_process_ends_are_started() -> None:
+    world = World(seed=1)
+    node = Node("n", "d")
+    node.loop = VirtualLoop(world, node)
+    started: list[str] = []
+
+    async def send_order() -> None:
+        started.append("order")
+
+    async def serve() -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            orders.append(asyncio.get_running_loop().create_task(send_order()))
+
+    orders: list[asyncio.Task[None]] = []
+    server = node.loop.create_task(serve())
+    world.step(node)
+    for _ in until_done(world, node):
+        pass
+    node.loop.close()
+    assert server.cancelled()
+    assert started == ["order"]
