--- a/packages/dispatch/tests/simulated_world.py
+++ b/packages/dispatch/tests/simulated_world.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import heapq
+import inspect
 import itertools
 import random
 import selectors
@@ -135,8 +136,10 @@
             for node in self.nodes:
                 if node.loop is None or node.frozen or not node.is_up:
                     continue
+                if node.busy_until >= event_at:
+                    continue
                 at = node.loop.next_event_at()
-                if at is not None and max(at, node.busy_until) < event_at:
+                if at is not None and at < event_at:
                     event_at, due = max(at, node.busy_until), node
             if event_at >= ends_at:
                 self.now = ends_at
@@ -711,7 +714,9 @@
         if not tasks:
             break
         for task in tasks:
-            task.cancel()
+            # Like a cancel scope: a task is not cancelled before its first step.
+            if inspect.getcoroutinestate(task.get_coro()) != inspect.CORO_CREATED:
+                task.cancel()
         world.now += 0.01
         world.step(node)
         yield
