Move the simulated cluster to the test bed

Cause: the harness of simulated clusters is a stand-in like the others, and was not checked by mypy among the tests.

--- a/packages/dispatch/tests/test_cluster_faults.py
+++ b/packages/dispatch/tests/test_cluster_faults.py
@@ -7,8 +7,9 @@
 import random
 
 import pytest
-from simulated_cluster import MEDIUM, SHORT, TIMEOUT_S, Cluster
-from simulated_faults import FaultMix
+
+from redwingport_testbed.simulation.cluster import MEDIUM, SHORT, TIMEOUT_S, Cluster
+from redwingport_testbed.simulation.faults import FaultMix
 
 SEEDS_VARIABLE = "REDWINGPORT_SIMULATION_SEEDS"
 FIRST_SEED, END_SEED = map(int, os.environ.get(SEEDS_VARIABLE, "1:5").split(":"))
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -1,7 +1,8 @@
 """Changes of owners in clusters: what the previous owner and the next one may do."""
 
 import pytest
-from simulated_cluster import LONG, Cluster, Entry
+
+from redwingport_testbed.simulation.cluster import LONG, Cluster, Entry
 
 TINY = (3, 3)
 
--- a/packages/dispatch/tests/test_cluster_simulation.py
+++ b/packages/dispatch/tests/test_cluster_simulation.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import pytest
-from simulated_cluster import MEDIUM, SHORT, Cluster
-from simulated_world import Node, VirtualLoop, World, until_done
+
+from redwingport_testbed.simulation.cluster import MEDIUM, SHORT, Cluster
+from redwingport_testbed.simulation.world import Node, VirtualLoop, World, until_done
 
 # More than 13 processes, so that hubs and long heartbeat intervals are in use.
 LARGE = (4, 4, 4, 4)
--- a/packages/dispatch/tests/simulated_cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -2,27 +2,17 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import types
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, MutableMapping, Sequence
 from dataclasses import dataclass, field, replace
+from typing import Any
 from unittest import mock
 
 import anyio
 from result import Err, Ok, Result
-from simulated_world import (
-    LEASE_MS,
-    Listener,
-    ModelServer,
-    ModelServerClients,
-    Monitor,
-    Node,
-    Stream,
-    VirtualLoop,
-    World,
-    until_done,
-)
 
 from redwingport_dispatch.exceptions import StoreError
 from redwingport_dispatch.front import JobApi, Scope
@@ -42,6 +32,18 @@
 from redwingport_dispatch.process import DispatchProcess
 from redwingport_dispatch.settings import Settings
 from redwingport_entry.logs import DECISIONS, ROOT
+from redwingport_testbed.simulation.world import (
+    LEASE_MS,
+    Listener,
+    ModelServer,
+    ModelServerClients,
+    Monitor,
+    Node,
+    Stream,
+    VirtualLoop,
+    World,
+    until_done,
+)
 
 SERVICE = "desk"
 TASK_CPU_MILLIS = 8000
@@ -94,11 +96,13 @@
     revision: int = 1
 
     def put(self, listing: ServerListing) -> None:
+        """Add a server to the list, or replace its row."""
         self.revision += 1
         self.listing_by_id[listing.server_id] = listing
         self.changes.append((self.revision, listing.server_id))
 
     def remove(self, server_id: str) -> None:
+        """Remove a server from the list."""
         if self.listing_by_id.pop(server_id, None) is not None:
             self.revision += 1
             self.changes.append((self.revision, server_id))
@@ -124,21 +128,26 @@
         return Err(StoreError("call", "store", "timed out"))
 
     async def read_configuration(self) -> Result[Configuration | None, StoreError]:
+        """Return the configuration; see :class:`PlatformStore`."""
         return Ok(CONFIGURATION) if await self._reach() else self._error()
 
     async def await_configuration(self, wait_s: float) -> Result[Configuration | None, StoreError]:
+        """Wait, as the configuration does not change; see :class:`PlatformStore`."""
         await anyio.sleep(wait_s)
         return Ok(None) if await self._reach() else self._error()
 
     def decode_configuration(self, document: bytes) -> Result[Configuration, StoreError]:
+        """Return the only configuration; see :class:`PlatformStore`."""
         return Ok(CONFIGURATION)
 
     async def read_servers(self) -> Result[ServerTable, StoreError]:
+        """Return the list of servers; see :class:`PlatformStore`."""
         if not await self._reach():
             return self._error()
         return Ok(ServerTable(self._state.revision, dict(self._state.listing_by_id)))
 
     async def read_server_changes(self, revision: int) -> Result[ServerChanges, StoreError]:
+        """Return the changes since a revision; see :class:`PlatformStore`."""
         if not await self._reach():
             return self._error()
         changed = dict.fromkeys(name for at, name in self._state.changes if at > revision)
@@ -152,21 +161,25 @@
         )
 
     async def write_vm(self, record: VmRecord) -> Result[None, StoreError]:
+        """Store the row of a process; see :class:`PlatformStore`."""
         if not await self._reach():
             return self._error()
         self._state.record_by_vm[record.vm] = record
         return Ok(None)
 
     async def read_shard_count(self) -> Result[int, StoreError]:
+        """Return the number of shards; see :class:`PlatformStore`."""
         return Ok(self._state.shard_count) if await self._reach() else self._error()
 
     async def write_shard_count(self, count: int) -> Result[None, StoreError]:
+        """Raise the number of shards; see :class:`PlatformStore`."""
         if not await self._reach():
             return self._error()
         self._state.shard_count = max(count, self._state.shard_count)
         return Ok(None)
 
     async def read_vms(self) -> Result[Sequence[VmRecord], StoreError]:
+        """Return the rows of all processes; see :class:`PlatformStore`."""
         if not await self._reach():
             return self._error()
         return Ok(list(self._state.record_by_vm.values()))
@@ -182,17 +195,21 @@
         self._timeout_s = timeout_s
 
     def decode_job(self, body: bytes) -> Result[JobRequest, str]:
+        """Return the job of the kind named in a body; see :class:`JobFormat`."""
         kind = next(kind for kind in KINDS if kind.name == body.decode())
         shape = TaskShape(TASK_CPU_MILLIS, 64, 0, kind.estimate_s)
         return Ok(JobRequest(kind.name, (StepRequest(kind.tasks, shape),)))
 
     def encode_state(self, state: JobState) -> bytes:
+        """Return a state as text; see :class:`JobFormat`."""
         return state.encode()
 
     def encode_pending(self, count: int) -> bytes:
+        """Return a count as text; see :class:`JobFormat`."""
         return b"%d" % count
 
     def client_timeout_s(self, headers: Sequence[tuple[bytes, bytes]]) -> float | None:
+        """Return the time that clients wait, in seconds; see :class:`JobFormat`."""
         return self._timeout_s
 
 
@@ -241,6 +258,7 @@
 
     @property
     def serves(self) -> bool:
+        """Return whether the process takes submissions."""
         process = self.process
         return process is not None and process.front is not None and not process.draining
 
@@ -337,7 +355,7 @@
             try:
                 for entry in self.entries:
                     delay_s = self.random.uniform(0, 0.3)
-                    self.world.call_later(delay_s, lambda entry=entry: self.start(entry))
+                    self.world.call_later(delay_s, functools.partial(self.start, entry))
                 self.world.run(warm_up_s)
                 yield self
             finally:
@@ -445,6 +463,7 @@
         return owners
 
     def is_owner(self, entry: Entry) -> bool:
+        """Return whether a process considers itself the owner of a shard."""
         return any(entry in entries for entries in self.owners().values())
 
     def raise_shards(self, entry: Entry, count: int) -> None:
@@ -624,7 +643,10 @@
             if at >= duration_s:
                 return
             kind = self.random.choice(kinds)
-            self.world.call_later(at, lambda kind=kind: self.submit(kind))
+            self.world.call_later(at, functools.partial(self._submit_kind, kind))
+
+    def _submit_kind(self, kind: JobKind) -> None:
+        self.submit(kind)
 
     def _send(
         self, job_id: str, kind: JobKind, domain: str, number: int, entry: Entry | None = None
@@ -666,9 +688,11 @@
         if attempt not in attempt.entry.attempts:
             # The client has given up while the process was frozen.
             attempt.disconnected.set_result(None)
-        messages = [{"type": "http.request", "body": attempt.kind.name.encode()}]
+        messages: list[MutableMapping[str, Any]] = [
+            {"type": "http.request", "body": attempt.kind.name.encode()}
+        ]
 
-        async def receive() -> dict[str, object]:
+        async def receive() -> MutableMapping[str, Any]:
             if messages:
                 return messages.pop()
             assert attempt.disconnected is not None
@@ -687,7 +711,7 @@
             "path": f"/q/{attempt.job_id}",
             "headers": [(b"host", b"host")],
         }
-        await process.front(scope, receive, send)  # type: ignore[arg-type]
+        await process.front(scope, receive, send)
 
     def lose_clients(self, share: float = 1.0) -> int:
         """Break the connections of clients; their processes do not notice it.
--- a/packages/dispatch/tests/simulated_faults.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/faults.py
@@ -1,9 +1,10 @@
 """Random mixes of faults for simulated clusters."""
 
+import functools
 import random
 from collections.abc import Callable, Sequence
 
-from simulated_cluster import Cluster, Entry
+from redwingport_testbed.simulation.cluster import Cluster, Entry
 
 KILL_DOWN_S = (0.3, 2.5)
 FAULT_S = (0.3, 3.0)
@@ -29,7 +30,7 @@
         for _ in range(count):
             fault = self._random.choice(chosen)
             self._cluster.world.call_later(
-                self._random.uniform(0, duration_s), lambda fault=fault: self._inject(fault)
+                self._random.uniform(0, duration_s), functools.partial(self._inject, fault)
             )
 
     def _inject(self, fault: Fault) -> None:
@@ -54,6 +55,7 @@
         return self._random.sample(list(names), max(1, round(share * len(names))))
 
     def cut_domain(self) -> str:
+        """Cut a failure domain off, in both directions or in one."""
         domain = self._random.choice(self._cluster.domains)
         mode = self._random.choice(["both", "both", "in", "out"])
         self._cluster.cut_domain(domain, self._duration_s(), mode)
@@ -70,6 +72,7 @@
         return f"{group} {beyond} {both}"
 
     def cut_owner_from_process(self) -> str:
+        """Cut an owner from one other process."""
         name, other = self._entry().node.name, self._entry().node.name
         if name != other:
             both = self._random.random() < 0.6
@@ -77,6 +80,7 @@
         return f"{name} {other}"
 
     def cut_servers_from_processes(self) -> str:
+        """Cut some servers from some processes."""
         names = [entry.node.name for entry in self._cluster.entries]
         group = self._some(names, self._random.uniform(0.1, 0.6))
         servers = self._some(sorted(self._cluster.server_by_id), self._random.uniform(0.1, 0.5))
@@ -85,17 +89,20 @@
         return f"{group} {servers} {both}"
 
     def cut_server(self) -> str:
+        """Cut one server from everything."""
         server_id = self._server()
         self._cluster.cut_server(server_id, self._duration_s())
         return server_id
 
     def kill(self) -> str:
+        """End a process at once."""
         entry, refuses = self._entry(), self._random.random() < 0.5
         self._cluster.kill(entry, refuses)
         self._restart_later(entry)
         return f"{entry.node.name} {refuses}"
 
     def drain(self) -> str:
+        """Stop a process gracefully and start it again."""
         entry = self._entry()
         self._cluster.drain(entry)
         self._restart_later(entry)
@@ -111,11 +118,13 @@
         self._cluster.world.call_later(self._random.uniform(*KILL_DOWN_S), restart)
 
     def freeze(self) -> str:
+        """Freeze a process for some time."""
         entry = self._entry()
         self._cluster.freeze(entry, self._duration_s())
         return entry.node.name
 
     def slow_loop(self) -> str:
+        """Make each iteration of an event loop take time."""
         entry = self._entry()
         node, step_s = entry.node, entry.node.step_s
         node.step_s = self._random.choice([0.002, 0.005])
@@ -123,28 +132,33 @@
         return f"{node.name} was {step_s}"
 
     def jump_clock(self) -> str:
+        """Let the wall clock of a process jump."""
         entry = self._entry()
         entry.wall_offset_s = self._random.choice([-5.0, -0.5, 0.5, 5.0])
         return f"{entry.node.name} {entry.wall_offset_s}"
 
     def add_servers(self) -> str:
+        """Add servers, which may raise the number of shards."""
         count = self._random.randint(3, 9)
         for _ in range(count):
             self._cluster.add_server(cpu_millis=self._random.choice([8000, 16000, 32000]))
         return str(count)
 
     def drain_servers(self) -> str:
+        """Drain servers and remove them."""
         server_ids = [self._server() for _ in range(self._random.randint(1, 4))]
         for server_id in server_ids:
             self._cluster.drain_server(server_id, self._random.uniform(0.5, 2.0))
         return str(server_ids)
 
     def restart_server(self) -> str:
+        """Restart a server."""
         server_id = self._server()
         self._cluster.restart_server(server_id, self._random.uniform(*KILL_DOWN_S))
         return server_id
 
     def disturb_orders(self) -> str:
+        """Lose orders or answers, or execute orders late."""
         server_ids = self._some(sorted(self._cluster.server_by_id), 0.4)
         late = self._random.random() < 0.5
         for server_id in server_ids:
@@ -153,25 +167,28 @@
             setattr(server, attribute, self._random.choice([0.05, 0.2]))
             self._cluster.world.call_later(
                 self._duration_s(),
-                lambda server=server, attribute=attribute: setattr(server, attribute, 0.0),
+                functools.partial(setattr, server, attribute, 0.0),
             )
         return f"{server_ids} late={late}"
 
     def slow_servers(self) -> str:
+        """Slow some servers down."""
         server_ids = self._some(sorted(self._cluster.server_by_id), 0.3)
         slowness = self._random.choice([2.0, 5.0])
         for server_id in server_ids:
             server = self._cluster.server_by_id[server_id]
             server.slowness = slowness
             self._cluster.world.call_later(
-                self._duration_s(), lambda server=server: setattr(server, "slowness", 1.0)
+                self._duration_s(), functools.partial(setattr, server, "slowness", 1.0)
             )
         return f"{server_ids} {slowness}"
 
     def lose_clients(self) -> str:
+        """Break connections of clients without notice."""
         return str(self._cluster.lose_clients(self._random.uniform(0.1, 1.0)))
 
     def burst(self) -> str:
+        """Send more jobs for a while."""
         jobs_per_s = self._random.choice([40.0, 80.0])
         self._cluster.load(jobs_per_s, 1.0)
         return str(jobs_per_s)
--- a/packages/dispatch/tests/simulated_world.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/world.py
@@ -6,14 +6,16 @@
 
 import asyncio
 import contextlib
+import functools
 import heapq
 import inspect
 import itertools
 import random
 import selectors
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
+from typing import Any, cast
 
 import anyio
 from result import Err, Ok, Result
@@ -57,17 +59,20 @@
         super().__init__(_IdleSelector())
 
     def time(self) -> float:
+        """Return the time of the world; see :class:`asyncio.AbstractEventLoop`."""
         return self._world.now
 
     def next_event_at(self) -> float | None:
         """Return the time of the next callback; None when there is none."""
-        if self._ready:
+        if self._ready:  # type: ignore[attr-defined]
             return self._world.now
-        return self._scheduled[0].when() if self._scheduled else None
+        scheduled: list[asyncio.TimerHandle] = self._scheduled  # type: ignore[attr-defined]
+        return scheduled[0].when() if scheduled else None
 
     async def create_connection(  # type: ignore[override]
         self, factory: Callable[[], asyncio.Protocol], host: str, port: int
     ) -> tuple["Transport", asyncio.Protocol]:
+        """Connect to another process; see :class:`asyncio.AbstractEventLoop`."""
         assert self.connect is not None
         protocol = factory()
         return Transport(self, protocol, await self.connect(host, port)), protocol
@@ -75,6 +80,7 @@
     async def create_server(  # type: ignore[override]
         self, factory: Callable[[], asyncio.Protocol], host: str, port: int, **options: object
     ) -> "Listener":
+        """Accept connections of other processes; see :class:`asyncio.AbstractEventLoop`."""
         assert self.listen is not None
         return self.listen(Listener(self, factory))
 
@@ -125,6 +131,7 @@
         self._held: list[tuple[Node, Node, float, Callback]] = []
 
     def call_later(self, delay_s: float, callback: Callback) -> None:
+        """Call a function after a delay, in seconds."""
         heapq.heappush(self._events, (self.now + delay_s, next(self._numbers), callback))
 
     def run(self, duration_s: float) -> None:
@@ -151,6 +158,7 @@
                 self.step(due)
 
     def step(self, node: Node) -> None:
+        """Run one iteration of the event loop of a node."""
         assert node.loop is not None
         self.current = node
         node.busy_until = self.now + node.step_s
@@ -160,10 +168,12 @@
     # Network
 
     def delay_s(self, source: Node, target: Node) -> float:
+        """Draw the delay between two nodes, in seconds."""
         base_s = LOCAL_DELAY_S if source.domain == target.domain else REMOTE_DELAY_S
         return base_s + self.random.uniform(0, JITTER_S)
 
     def is_cut(self, source: Node, target: Node) -> bool:
+        """Return whether the path between two nodes is cut."""
         return bool(
             self.cut_paths
             and {
@@ -213,6 +223,7 @@
         self._is_closed = False
 
     async def receive(self) -> bytes:
+        """Return the data that has arrived, or wait for it."""
         while not self._received:
             self._receiver = asyncio.get_running_loop().create_future()
             await self._receiver
@@ -255,7 +266,7 @@
             delay_s = self._world.delay_s(self._source, self._target)
             self._last_arrival_at = max(self._last_arrival_at, self._world.now + delay_s)
             self._world.call_later(
-                self._last_arrival_at - self._world.now, lambda data=data: self._arrive(data)
+                self._last_arrival_at - self._world.now, functools.partial(self._arrive, data)
             )
 
     def _arrive(self, data: bytes | None) -> None:
@@ -287,21 +298,23 @@
         self._pump = self._loop.create_task(self._receive())
 
     def write(self, data: bytes) -> None:  # type: ignore[override]
+        """Send data; see :class:`asyncio.Transport`."""
         if self._stream.is_reset:
             self._lose(BrokenPipeError())
         elif not self._is_lost:
             self._stream.transmit(data)
 
     def abort(self) -> None:
+        """Close the stream; see :class:`asyncio.Transport`."""
         if not self._is_lost:
             self._stream.close()
             self._lose(None)
 
     def pause_reading(self) -> None:
-        pass
+        """Do nothing: nothing is sent to the sender of a stream."""
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        pass
+        """Do nothing: a stream takes everything."""
 
     async def _receive(self) -> None:
         with contextlib.suppress(anyio.EndOfStream):
@@ -399,6 +412,7 @@
     _active_by_task: dict[str, list[tuple[str, ModelRun]]] = field(default_factory=dict)
 
     def note_start(self, server: str, run: ModelRun) -> None:
+        """Record the start of a run, and whether another one of its task is running."""
         self.starts += 1
         self.started_jobs.add(run.task.partition(".")[0])
         active = self._active_by_task.setdefault(run.task, [])
@@ -407,6 +421,7 @@
         active.append((server, run))
 
     def note_end(self, server: str, run: ModelRun) -> None:
+        """Record the end of a run."""
         self._active_by_task[run.task].remove((server, run))
 
 
@@ -441,6 +456,7 @@
         self.start_lifetime()
 
     def start_lifetime(self) -> None:
+        """Start a new incarnation without runs, ends and tokens."""
         self.born_ms = 1_700_000_000_000 + round(self._world.now * 1000)
         self._born_at = self._world.now
         self._rate = self._world.random.uniform(0.98, 1.0)
@@ -469,6 +485,7 @@
 
     @property
     def clock_ms(self) -> int:
+        """Return the server's clock, in milliseconds."""
         return 1 + int((self._world.now - self._born_at) * self._rate * 1000)
 
     def renew(
@@ -479,6 +496,7 @@
         wait_ms: int,
         reply: Callable[[Result[ServerReport, OrderError]], None],
     ) -> None:
+        """Renew the lease and list runs and ends; see :class:`ServerClient`."""
         if not self._admit(token):
             reply(_failed("renew", OrderFailure.FENCED))
             return
@@ -502,6 +520,7 @@
     def start(
         self, order: StartOrder, process: str, reply: Callable[[Result[int, OrderError]], None]
     ) -> None:
+        """Start a task; see :class:`ServerClient`."""
         failure = self._start(order, process)
         reply(Ok(self.clock_ms) if failure is None else _failed("start", failure))
 
@@ -540,6 +559,7 @@
         token: int,
         reply: Callable[[Result[int, OrderError]], None],
     ) -> None:
+        """Stop a run; see :class:`ServerClient`."""
         if not self._admit(token):
             reply(_failed("stop", OrderFailure.FENCED))
             return
@@ -609,6 +629,7 @@
         wait_ms: int,
         deadline: float,
     ) -> Result[ServerReport, OrderError]:
+        """Renew the lease and list runs and ends; see :class:`ServerClient`."""
         return await self._call(
             "renew",
             lambda reply: self._server.renew(token, acknowledged, lease_until_ms, wait_ms, reply),
@@ -616,6 +637,7 @@
         )
 
     async def start(self, order: StartOrder, deadline: float) -> Result[int, OrderError]:
+        """Start a task; see :class:`ServerClient`."""
         return await self._call(
             "start",
             lambda reply: self._server.start(order, self._process.name, reply),
@@ -625,19 +647,20 @@
     async def stop(
         self, task: str, number: int, token: int, deadline: float
     ) -> Result[int, OrderError]:
+        """Stop a run; see :class:`ServerClient`."""
         return await self._call(
             "stop", lambda reply: self._server.stop(task, number, token, reply), deadline
         )
 
     async def aclose(self) -> None:
-        pass
+        """Do nothing; see :class:`ServerClient`."""
 
     async def _call(
         self,
         step: str,
-        execute: Callable[[Callable[[Result], None]], None],
+        execute: Callable[[Callable[[Result[Any, OrderError]], None]], None],
         deadline: float,
-    ) -> Result:
+    ) -> Result[Any, OrderError]:
         world, source, target = self._world, self._process, self._server.node
         if self._idle_connections:
             self._idle_connections -= 1
@@ -651,13 +674,13 @@
                 return _failed(step, OrderFailure.NOT_SENT)
             await anyio.sleep(world.delay_s(source, target) * 2)
         loop = asyncio.get_running_loop()
-        answered: asyncio.Future[Result] = loop.create_future()
+        answered: asyncio.Future[Result[Any, OrderError]] = loop.create_future()
 
-        def deliver(result: Result) -> None:
+        def deliver(result: Result[Any, OrderError]) -> None:
             if not answered.done() and not loop.is_closed():
                 answered.set_result(result)
 
-        def reply(result: Result) -> None:
+        def reply(result: Result[Any, OrderError]) -> None:
             lost = world.random.random() < self._server.loss_share
             if not lost and not world.is_cut(target, source):
                 world.call_later(world.delay_s(target, source), lambda: deliver(result))
@@ -697,6 +720,7 @@
         self._server_by_address = server_by_address
 
     def open(self, listing: object) -> ModelServerClient:
+        """Return a client of one server; see :class:`ServerClientFactory`."""
         server = self._server_by_address[listing.address]  # type: ignore[attr-defined]
         return ModelServerClient(self._world, self._process, server)
 
@@ -715,7 +739,10 @@
             break
         for task in tasks:
             # Like a cancel scope: a task is not cancelled before its first step.
-            if inspect.getcoroutinestate(task.get_coro()) != inspect.CORO_CREATED:
+            if (
+                inspect.getcoroutinestate(cast(Coroutine[Any, Any, Any], task.get_coro()))
+                != inspect.CORO_CREATED
+            ):
                 task.cancel()
         world.now += 0.01
         world.step(node)
