Count leases of a lost owner from the time at which the holder lost it

What callers saw: a task could run twice when an owner whose heartbeats were late was cut off from its holder. Cause: the wait for its leases counted from one heartbeat interval after the last one, as if it were punctual. A holder counts it as lost after the liveness timeout (0.5 s), and it may extend leases until then. Change: only the silence beyond the liveness timeout is deducted. Why it works: an owner that is late by more has been lost before. Result: the unit test of the deduction asks for the later time (a start 0.62 s after a silence of 0.95 s, before 0.27 s) and failed before.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -11,7 +11,7 @@
     ServerReport,
     TaskShape,
 )
-from redwingport_dispatch.ownership.election import HEARTBEAT_S
+from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
 from redwingport_dispatch.scheduling.effects import Effects
 from redwingport_dispatch.scheduling.history import History
@@ -140,8 +140,9 @@
         :param resumed: whether an earlier owner may have started tasks of the work item.
         :param now: monotonic time, in seconds.
         :param unheard_s: time since the holder last received a heartbeat from that owner, in
-            seconds; deducted from the wait for the end of its leases, but for one heartbeat
-            interval, within which it may have extended them once more. The owner has either ended
+            seconds; deducted from the wait for the end of its leases, but for the liveness
+            timeout, within which it may have extended them without a heartbeat that arrived. The
+            owner has either ended
             since then, or noticed soon afterwards that the holder was unreachable, and stopped
             the runs of the work item.
         """
@@ -164,7 +165,7 @@
         work.late = now + work.shape.estimate_s > work.target_at
         self._displace_older(work, now)
         self.work_by_key[work.key] = work
-        silent_s = max(0.0, unheard_s - HEARTBEAT_S)
+        silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
         work.safe_at = now + self._longest_lease_s() - silent_s if resumed else now
         # If the previous owner was reachable until recently, its reports may be in flight.
         recently_reachable = resumed and unheard_s < HANDOVER_REPORT_S
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -217,13 +217,13 @@
 def test_new_owner_deducts_silence_of_previous_owner_from_its_leases() -> None:
     """A failure domain is partitioned off with the old owner and some of the servers.
 
-    The bound on its leases counts from the time at which its next heartbeat was due at the holder:
-    until then it may have extended them.
+    The bound on its leases counts from the time at which the holder lost it: until then it may
+    have extended them.
     """
     harness = SchedulerHarness(servers=2)
     harness.scheduler.server_by_id["s1"].acquired = False
-    harness.submit("job", resumed=True, placed={0: "s1"}, unheard_s=0.95)
-    harness.advance(0.2)
+    harness.submit("job", resumed=True, placed={0: "s1"}, unheard_s=0.95, deadline_s=3)
+    harness.advance(0.6)
     assert not harness.effects.started
     harness.advance(0.1)
     assert len(harness.effects.started) == 1
