Count a task that is reported done as started

What callers saw: a job whose first step had run could be answered 503, which promises that nothing has run. Cause: only the report of a placement marked the job as started, and that report may be lost with a link. Change: the report of an end marks it, too. Result: test_job_whose_placement_was_not_reported_is_not_refused failed and passes.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -340,6 +340,8 @@
                     # again.
                     self._submit(work)
             elif event == "done":
+                # The notification of its placement may have been lost.
+                self._record_placement(work.job)
                 if not task.done:
                     task.done, task.done_run, task.done_at = True, run_number, current_time()
                     task.placed_on = server_id or task.placed_on
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -455,3 +455,13 @@
     await run_job(make_job(), script)
     [ended] = logged(caplog, "job-ended")
     assert not {"refused_by", "handovers", "done"} & set(ended)
+
+
+# Guards against a refusal of a job that has run: only the end of its first step was reported.
+async def test_job_whose_placement_was_not_reported_is_not_refused() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        holder.handle_notification("o", TaskNews([(1, 0, "done", 1, "s")]))
+        holder.handle_notification("o", WorkRefused(2, 1, TOO_LATE, 1))
+
+    job = make_job(tasks=1, steps=2)
+    assert (await run_job(job, script)).outcome is Outcome.UNKNOWN
