Use slow servers when the fast ones are too few for a work item

What callers saw: with one fast server among slow ones, a wide job waited for the fast one and failed beside idle servers. Cause: slow servers were left out as long as one faster server was certain to meet the deadline, however many tasks waited. Change: they are left out only while the servers that are certain to meet it have room for all waiting tasks of the work item. Result: test_wide_job_uses_slow_servers_when_the_fast_ones_are_too_few failed and passes; the tests of load pass.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
@@ -40,8 +40,8 @@
     ) -> dict[ServerState, float]:
         """Return the servers with capacity for a task, and its expected run time on each.
 
-        A server that might miss the deadline is omitted while a faster one, which has no capacity
-        now, can still meet it with certainty.
+        A server that might miss the deadline is omitted while faster ones, which may have no
+        capacity now, can still meet it with certainty and have room for all waiting tasks.
 
         :param work: the work item of the task.
         :param slowness_by_server: usable servers and their likely slowness.
@@ -61,15 +61,24 @@
         left_s = work.deadline_at - now
         if max(run_s_by_server.values()) * DEADLINE_MARGIN <= left_s:
             return run_s_by_server
-        fastest_s = min(
-            self.expected_run_s(server, work, slowness)
+        run_s_by_fitting_server = {
+            server: self.expected_run_s(server, work, slowness)
             for server, slowness in slowness_by_server.items()
             if _could_run(server, work)
+        }
+        certain_slots = sum(
+            server.listing.cpu_millis // max(work.shape.cpu_millis, 1)
+            for server, run_s in run_s_by_fitting_server.items()
+            if run_s * DEADLINE_MARGIN <= left_s
         )
-        # If no server is expected to meet the deadline, keep those that may meet it, because
-        # declared run times are inaccurate.
-        factors = (DEADLINE_MARGIN, 1.0, MIN_RUN_TIME_SHARE)
-        factor = next((f for f in factors if fastest_s * f <= left_s), MIN_RUN_TIME_SHARE)
+        if certain_slots >= len(work.queued_tasks()):
+            factor = DEADLINE_MARGIN
+        elif min(run_s_by_fitting_server.values()) <= left_s:
+            factor = 1.0
+        else:
+            # No server is expected to meet the deadline: keep those that may meet it, because
+            # declared run times are inaccurate.
+            factor = MIN_RUN_TIME_SHARE
         return {
             server: run_s for server, run_s in run_s_by_server.items() if run_s * factor <= left_s
         }
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -470,3 +470,10 @@
     harness.accept_all()
     harness.end(harness.effects.started[0])
     assert harness.effects.started[1].task_name == "large.0.0.0"
+
+
+# Guards against idle servers beside a job that fails: its tasks waited for the one fast server.
+def test_wide_job_uses_slow_servers_when_the_fast_ones_are_too_few() -> None:
+    harness = harness_with_two_kinds(fast=1, slow=4)
+    harness.submit("long", tasks=7, estimate_s=0.75, target_s=1.5, deadline_s=1.5)
+    assert {run.server_id for run in harness.effects.started} > {"fast0"}
