--- a/packages/dispatch/src/redwingport_dispatch/scheduling/queue.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/queue.py
@@ -7,14 +7,14 @@
 from redwingport_dispatch.scheduling.work import Work
 
 # Seconds of declared run time that one second of waiting offsets. Ageing lets a long task
-# overtake newer short ones, so that a long burst of short tasks does not starve it.
+# overtake newer short ones, so that short tasks that keep arriving do not starve it.
 AGEING_RATE = 4.0
 
 Rank = tuple[bool, int, bool, float, int]
 
 
 class WorkQueue:
-    """Order work items by priority, then by shortest declared run time, with ageing.
+    """Order work items by priority, then nearly by arrival: shorter ones are slightly preferred.
 
     Work items that arrived too late to meet their target follow those of the same priority that
     can still meet it.
