--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -3,9 +3,9 @@
 Processes that can reach each other agree on one owner for each shard: the one that claims the
 shard with the highest term. A shard without an owner is taken over by the process that owns the
 fewest shards, and among equals by the one with the highest weight; processes with less than half
-of the highest weight take over none. Of two concurrent owners that reach a server, it obeys the one
-with the higher fencing token; where one owner reaches a server alone, the other waits for the end
-of its leases. So no consensus protocol is needed.
+of the highest weight take over none. A server that two concurrent owners reach obeys the one with
+the higher fencing token; where one owner reaches a server alone, the other waits for the end of
+its leases. So no consensus protocol is needed.
 """
 
 import math
