Rank the shards of a job by a layout that all processes share

Cause: holders ranked the shards by the sizes that their own list of servers gave. Ruled out: equal shares for all shards, which overload small ones. Change: the store holds a layout (revision and sizes by shard); processes pass newer ones on, each work item names the revision by which its shard was chosen, and an owner ignores one of another layout; its holder submits it again when both use the same.

--- a/packages/cli/src/redwingport_cli/explaining.py
+++ b/packages/cli/src/redwingport_cli/explaining.py
@@ -33,6 +33,7 @@
     "works-handed-over",
     "works-moved",
     "shards-raised",
+    "shards-resized",
 )
 STORE_EVENTS = ("store-lost", "store-regained", "configuration-in-force")
 HIDDEN_FIELDS = ("time", "level", "event")
--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -305,6 +305,12 @@
     ),
     LogEvent("owner-failed", _P, "an owner ended with an error", ("term", "error")),
     LogEvent("shards-raised", _P, "the number of shards was raised", ("count", "was")),
+    LogEvent(
+        "shards-resized",
+        _P,
+        "jobs are shared out among the same shards by their present sizes",
+        ("revision",),
+    ),
     LogEvent("peer-link-opened", _P, "an outgoing link to a process was opened", ("peer",)),
     LogEvent("peer-link-lost", _P, "the outgoing link to a process broke", ("peer", "reason")),
     LogEvent("peer-link-ended", _P, "the incoming link from a process broke", ("peer", "reason")),
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -9,10 +9,10 @@
 import anyio
 
 from redwingport_dispatch.clock import current_time
-from redwingport_dispatch.interfaces import JobRequest, Route
+from redwingport_dispatch.interfaces import JobRequest, Route, ShardLayout
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
-from redwingport_dispatch.ownership.shards import rank_shards
+from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, rank_shards
 from redwingport_dispatch.scheduling.admission import FITS_ON_NO_SERVER, NO_SERVER, TOO_LATE
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
@@ -93,6 +93,7 @@
     :param submitted_shard: shard to which it was sent last, and the number of shards then.
     :param earlier_owners: incarnations and terms of earlier owners, which may still have it.
     :param earlier_shards: shards of earlier owners, each with the number of shards then.
+    :param layout_revision: revision of the layout by which the shards are ordered.
     :param shards: all shards in the order of the job.
     :param refused_shards: number of those shards, from the first, that have refused it.
     :param offers: number of shards to which it was offered, including repeated offers to one that
@@ -111,6 +112,7 @@
     submitted_shard: tuple[int, int] = (0, 0)
     earlier_owners: set[tuple[str, int]] = field(default_factory=set)
     earlier_shards: set[tuple[int, int]] = field(default_factory=set)
+    layout_revision: int = 0
     shards: list[int] = field(default_factory=list)
     refused_shards: int = 0
     offers: int = 0
@@ -190,7 +192,6 @@
     :param incarnation: random id of this process.
     :param send: sends a message to an owner; returns whether a link to it is open.
     :param unheard_s: returns the time since the last heartbeat of a process, in seconds.
-    :param shard_sizes: returns the size of each shard for a given number of shards.
     :param metrics: metrics of the process.
     """
 
@@ -199,19 +200,18 @@
         incarnation: str,
         send: Callable[[str, OwnerMessage], bool],
         unheard_s: Callable[[str], float],
-        shard_sizes: Callable[[int], Sequence[int]],
         metrics: Metrics,
     ) -> None:
         self.job_by_id: dict[str, Job] = {}
         self._incarnation = incarnation
         self._send = send
         self._unheard_s = unheard_s
-        self._shard_sizes = shard_sizes
         self._metrics = metrics
         self._work_by_id: dict[int, _HeldWork] = {}
         self._has_works = anyio.Event()
         self._next_work_id = 1
         self._shard_owners: Sequence[ShardOwner] = ()
+        self._layout = UNKNOWN_LAYOUT
 
     def pending_count(self, route_name: str) -> int:
         """Return the number of jobs of a queue that have not started."""
@@ -252,12 +252,19 @@
         self._end(job, JobEnd(Outcome.CANCELLED, "cancelled"))
         return True
 
-    def set_owners(self, shard_owners: Sequence[ShardOwner]) -> None:
+    def set_owners(self, shard_owners: Sequence[ShardOwner], layout: ShardLayout) -> None:
         """Set the owners of the shards, and submit open work items to new owners.
 
         :param shard_owners: owners by number of the shard.
+        :param layout: layout of the shards.
         """
         before, self._shard_owners = self._shard_owners, shard_owners
+        # An owner ignores work items that were submitted by an older layout than its own, so after
+        # a change all of them are submitted again.
+        is_new_layout = layout.revision != self._layout.revision
+        self._layout = layout
+        if not shard_owners:
+            return
         handovers: Counter[tuple[int, str]] = Counter()
         works = list(self._work_by_id.values())
         moved = 0
@@ -265,12 +272,16 @@
             former_shard = work.shards[work.refused_shards] if work.shards else None
             shard = self._shard_of(work)
             moved += former_shard != shard
-            if len(before) != len(shard_owners) or before[shard] != shard_owners[shard]:
+            if (
+                is_new_layout
+                or len(before) != len(shard_owners)
+                or before[shard] != shard_owners[shard]
+            ):
                 former, earlier_handovers = work.submitted_to[0], work.handovers
                 self._submit(work)
                 if work.handovers > earlier_handovers:
                     handovers[shard, former] += 1
-        if before and len(before) != len(shard_owners) and works:
+        if before and is_new_layout and works:
             log_event(
                 decisions,
                 logging.INFO,
@@ -306,9 +317,9 @@
 
     def _shard_of(self, work: _HeldWork) -> int:
         """Return the first shard in the order of the job that has not refused the work item."""
-        count = max(len(self._shard_owners), 1)
-        if len(work.shards) != count:
-            work.shards = rank_shards(work.job.job_id, self._shard_sizes(count))
+        if work.layout_revision != self._layout.revision:
+            work.layout_revision = self._layout.revision
+            work.shards = rank_shards(work.job.job_id, self._layout.sizes)
             work.refused_shards = 0
             work.refused_for_load = False
         return work.shards[work.refused_shards]
@@ -396,6 +407,7 @@
             work_id=work.work_id,
             job_id=job.job_id,
             shard=shard[0],
+            layout_revision=self._layout.revision,
             step=work.step,
             service=job.route.service,
             spec=job.request.spec,
--- a/packages/dispatch/src/redwingport_dispatch/interfaces.py
+++ b/packages/dispatch/src/redwingport_dispatch/interfaces.py
@@ -320,6 +320,28 @@
     removed: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ShardLayout:
+    """Describe how the backend servers are divided into shards.
+
+    All processes use the layout with the highest revision that they know. The sizes are part of
+    it, since the lists of servers of two processes may differ, and with them the owner that each
+    would choose for the same job.
+
+    :param revision: revision of the layout; 0 while none is known.
+    :param sizes: processor capacity of each shard when the layout was made, in thousandths of a
+        core, by number of the shard.
+    """
+
+    revision: int
+    sizes: tuple[int, ...]
+
+    @property
+    def shard_count(self) -> int:
+        """Return the number of shards."""
+        return len(self.sizes)
+
+
 class PlatformStore(Protocol):
     """Access the platform's store, which also holds the rows of this system."""
 
@@ -354,12 +376,12 @@
         """Write this process's row."""
         ...
 
-    async def read_shard_count(self) -> Result[int, StoreError]:
-        """Read the number of shards; 1 if it was never written."""
+    async def read_shard_layout(self) -> Result[ShardLayout, StoreError]:
+        """Read the layout of the shards; a single shard if it was never written."""
         ...
 
-    async def write_shard_count(self, count: int) -> Result[None, StoreError]:
-        """Write the number of shards."""
+    async def write_shard_layout(self, layout: ShardLayout) -> Result[None, StoreError]:
+        """Write the layout of the shards."""
         ...
 
     async def read_vms(self) -> Result[Sequence[VmRecord], StoreError]:
--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -117,8 +117,8 @@
         self.highest_term = max(self.highest_term, presence.term, *terms)
         return changed
 
-    def raise_shard_count(self, count: int) -> None:
-        """Apply a higher number of shards; shards owned in the previous layout are given up."""
+    def set_shard_count(self, count: int) -> None:
+        """Apply another number of shards; shards owned in the previous layout are given up."""
         self.shard_count = count
         self.owned_term_by_shard.clear()
         self._ownerless_at_by_shard.clear()
--- a/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
@@ -1,7 +1,7 @@
 """Shards: partitions of the backend servers, each with its own owner.
 
 A server is assigned to a shard by a hash of its id. A job is offered to the shards in an order
-that depends on its id and on the sizes of the shards, so that larger shards get more jobs. A job
+that depends on its id and on the layout of the shards, in which larger shards get more jobs. A job
 that is submitted again, to any process, is therefore offered to the same shards, whose owners
 know which of its tasks are running.
 """
@@ -11,7 +11,7 @@
 import zlib
 from collections.abc import Collection, Sequence
 
-from redwingport_dispatch.interfaces import ServerListing
+from redwingport_dispatch.interfaces import ServerListing, ShardLayout
 
 # An owner needs about 2.7 ms of processor time per task. At peak load, 24 servers receive about
 # 280 tasks a second, which takes three quarters of a core. Smaller shards have too few fast
@@ -19,6 +19,34 @@
 SERVERS_PER_SHARD = 24
 # Number of bytes of the hash that ranks the shards of a job.
 HASH_BYTES = 6
+# Factor by which the share of a shard in all servers may differ from its share in the layout.
+# Within it, a few servers that come or leave change no layout, which would move jobs.
+MAX_SHARE_DRIFT = 1.5
+
+
+UNKNOWN_LAYOUT = ShardLayout(0, ())
+
+
+def even_layout(shard_count: int) -> ShardLayout:
+    """Return the layout of a number of shards for which no sizes were stored."""
+    return ShardLayout(shard_count, (1,) * shard_count)
+
+
+def have_drifted(sizes: Sequence[int], earlier_sizes: Sequence[int]) -> bool:
+    """Tell whether the share of a shard differs much between two lists of sizes.
+
+    :param sizes: sizes of the shards; nothing has drifted while all are 0.
+    :param earlier_sizes: earlier sizes of the same shards.
+    """
+    total, earlier_total = sum(sizes), sum(earlier_sizes)
+    if not total or not earlier_total:
+        return False
+    for size, earlier_size in zip(sizes, earlier_sizes, strict=True):
+        share, earlier_share = size / total, earlier_size / earlier_total
+        larger, smaller = max(share, earlier_share), min(share, earlier_share)
+        if larger > MAX_SHARE_DRIFT * smaller:
+            return True
+    return False
 
 
 def shard_count_for(servers: int) -> int:
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -20,19 +20,20 @@
     PlatformStore,
     ServerClientFactory,
     ServerListing,
+    ShardLayout,
     VmRecord,
 )
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.ownership.election import Election, ShardOwner
-from redwingport_dispatch.ownership.shards import shard_of, shard_sizes
+from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, shard_of
 from redwingport_dispatch.peers import Mesh
 from redwingport_dispatch.routes import RouteTable
 from redwingport_dispatch.settings import Settings
 from redwingport_dispatch.watchers import (
     ConfigurationWatcher,
+    LayoutWatcher,
     ServerWatcher,
-    ShardLayout,
     VmDirectory,
 )
 from redwingport_entry.http_server import HttpServer, Listener, build_server
@@ -42,6 +43,8 @@
     CancelWork,
     ConfigurationAnswer,
     ConfigurationQuery,
+    LayoutAnswer,
+    LayoutQuery,
     Presence,
     ReleaseWork,
     SubmitWork,
@@ -66,7 +69,7 @@
 # A process that reaches no other one for this long connects to all listed processes, as the hubs
 # may have ended.
 ISOLATION_TIMEOUT_S = 1.5
-# Shard whose owner raises the number of shards.
+# Shard whose owner replaces the layout of the shards.
 FIRST_SHARD = 0
 # Servers that are missing from a list are considered removed only if the list was read at most
 # this long ago.
@@ -120,6 +123,7 @@
         self._election = Election(self.incarnation, weight, tag, current_time())
         self._weight = weight
         self._shard_owners: Sequence[ShardOwner] = ()
+        self._shard_layout = UNKNOWN_LAYOUT
         self._reachable_peers: set[str] = set()
         self._isolated_since = current_time()
         self._timeout_changed = anyio.Event()
@@ -130,7 +134,6 @@
             self.incarnation,
             self._send_to_owner,
             lambda peer: self._election.unheard_s(peer, current_time()),
-            lambda count: shard_sizes(self._servers.listing_by_id.values(), count),
             self.metrics,
         )
         self._mesh = Mesh(
@@ -147,12 +150,13 @@
         self._servers = ServerWatcher(
             store, self._apply_servers, lambda: bool(self._owner_by_shard), self.metrics
         )
-        self._layout = ShardLayout(
+        self._layout = LayoutWatcher(
             store,
             lambda: self._servers.listing_by_id,
-            lambda: self._election.shard_count,
+            lambda: self._shard_layout,
             lambda: FIRST_SHARD in self._owner_by_shard,
-            self._raise_shard_count,
+            tag,
+            self._apply_layout,
             self.metrics,
         )
         record = VmRecord(
@@ -274,17 +278,23 @@
         # The timeout now expires before the next scheduled run of the election.
         self._timeout_changed.set()
 
-    def _raise_shard_count(self, count: int) -> None:
-        """Apply a higher number of shards; owners in the previous layout release their shards."""
-        was = self._election.shard_count
-        if count <= was:
+    def _apply_layout(self, layout: ShardLayout) -> None:
+        """Apply a newer layout; owners release their shards if the number of shards changes."""
+        was = self._shard_layout
+        if layout.revision <= was.revision:
             return
-        log_event(logger, logging.INFO, "shards-raised", count=count, was=was)
-        self._election.raise_shard_count(count)
-        for owner in self._owner_by_shard.values():
-            owner.stop()
-        self._owner_by_shard.clear()
-        self._shard_owners = ()
+        self._shard_layout = layout
+        count = layout.shard_count
+        if count != was.shard_count:
+            log_event(logger, logging.INFO, "shards-raised", count=count, was=was.shard_count)
+            self._election.set_shard_count(count)
+            for owner in self._owner_by_shard.values():
+                owner.stop()
+            self._owner_by_shard.clear()
+            self._shard_owners = ()
+        else:
+            log_event(logger, logging.INFO, "shards-resized", revision=layout.revision)
+            self.holder.set_owners(self._shard_owners, layout)
         self._mesh.announce()
         self._update_owners()
 
@@ -313,7 +323,7 @@
         for shard, (was, shard_owner) in enumerate(zip(before, shard_owners, strict=True)):
             if was != shard_owner:
                 self._change_owner(shard, was, shard_owner)
-        self.holder.set_owners(shard_owners)
+        self.holder.set_owners(shard_owners, self._shard_layout)
 
     def _drop_holder(self, incarnation: str, unheard_s: float) -> None:
         for owner in self._owner_by_shard.values():
@@ -395,7 +405,8 @@
             address=self.settings.listen.peers,
             weight=self._weight,
             term=self._election.highest_term,
-            shards=self._election.shard_count,
+            shards=self._shard_layout.shard_count,
+            layout_revision=self._shard_layout.revision,
             owned_terms=sorted(self._election.owned_term_by_shard.items()),
             heartbeat_ms=round(self._election.heartbeat_s(peer) * 1000),
             draining=self.draining,
@@ -410,6 +421,12 @@
             self._handle_work(sender, message)
         elif isinstance(message, TaskNews | WorkRefused | WorkAbandoned):
             self.holder.handle_notification(sender, message)
+        elif isinstance(message, LayoutQuery):
+            layout = self._shard_layout
+            if layout.revision > message.revision:
+                self._mesh.send(sender, LayoutAnswer(layout.revision, list(layout.sizes)))
+        elif isinstance(message, LayoutAnswer):
+            self._apply_layout(ShardLayout(message.revision, tuple(message.sizes)))
         elif isinstance(message, ConfigurationQuery):
             current = self._configuration.current
             if current is not None and current.revision > message.revision:
@@ -421,8 +438,18 @@
 
     def _handle_presence(self, presence: Presence) -> None:
         self._remove_predecessor(presence)
+        revision = self._shard_layout.revision
+        earlier = self._election.peer_by_incarnation.get(presence.incarnation)
         changed = self._election.observe(presence, current_time())
-        self._raise_shard_count(presence.shards)
+        if presence.layout_revision > revision:
+            self._mesh.send(presence.incarnation, LayoutQuery(revision))
+        elif (
+            presence.layout_revision == revision
+            and earlier is not None
+            and earlier.presence.layout_revision != revision
+        ):
+            # Until now, the peer ignored work items that were submitted by this layout.
+            self.holder.resubmit(presence.incarnation)
         if presence.configuration_revision > self._configuration.revision:
             query = ConfigurationQuery(self._configuration.revision)
             self._mesh.send(presence.incarnation, query)
@@ -453,8 +480,9 @@
                     owner.release(sender, message)
             return
         responsible = self._owner_by_shard.get(message.shard)
-        if responsible is None:
-            # The sender submits its work items to the next owner as soon as it knows that owner.
+        if responsible is None or message.layout_revision != self._shard_layout.revision:
+            # The sender submits its work items to the next owner as soon as it knows that owner,
+            # and again when it and this process use the same layout.
             log_event(logger, logging.INFO, "work-not-owned", sender=sender, work=message.work_id)
         else:
             responsible.submit(sender, message)
--- a/packages/dispatch/src/redwingport_dispatch/watchers.py
+++ b/packages/dispatch/src/redwingport_dispatch/watchers.py
@@ -1,6 +1,7 @@
 """Watchers that keep local copies of data in the platform's store up to date."""
 
 import logging
+import time
 from collections.abc import Callable, Mapping, Sequence
 
 import anyio
@@ -11,11 +12,17 @@
     Configuration,
     PlatformStore,
     ServerListing,
+    ShardLayout,
     VmRecord,
 )
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.hubs import find_neighbours
-from redwingport_dispatch.ownership.shards import shard_count_for
+from redwingport_dispatch.ownership.shards import (
+    have_drifted,
+    shard_count_for,
+    shard_sizes,
+)
+from redwingport_dispatch.ownership.terms import new_term
 from redwingport_entry.logs import ROOT, log_event
 
 # Time for which the store holds a watch request open. It is short enough to detect a permanently
@@ -32,6 +39,9 @@
 # Interval at which the number of shards is compared with the number of servers. Servers that start
 # together are all listed within this time.
 SHARD_CHECK_INTERVAL_S = 1.0
+# The shares of the shards must differ from the layout for this long before it is replaced. Entries
+# of servers that were removed during an outage of the store are back sooner.
+DRIFT_PERIOD_S = 5.0
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 
@@ -227,14 +237,15 @@
         return True
 
 
-class ShardLayout:
-    """Maintain the number of shards, which grows with the number of servers and never shrinks.
+class LayoutWatcher:
+    """Maintain the layout of the shards, whose number never shrinks.
 
     :param store: the platform's store.
     :param listing_by_id: returns the list of servers.
-    :param current_count: returns the current number of shards; 0 while it is unknown.
-    :param may_raise: tells whether this process is responsible for raising the number.
-    :param on_count: called with each number that was read or written.
+    :param current: returns the layout in use.
+    :param may_replace: tells whether this process is responsible for replacing the layout.
+    :param tag: number that distinguishes the revisions of this process.
+    :param on_layout: called with each layout that was read or written.
     :param metrics: metrics of the process.
     """
 
@@ -242,40 +253,67 @@
         self,
         store: PlatformStore,
         listing_by_id: Callable[[], Mapping[str, ServerListing]],
-        current_count: Callable[[], int],
-        may_raise: Callable[[], bool],
-        on_count: Callable[[int], None],
+        current: Callable[[], ShardLayout],
+        may_replace: Callable[[], bool],
+        tag: int,
+        on_layout: Callable[[ShardLayout], None],
         metrics: Metrics,
     ) -> None:
         self._store = store
         self._listing_by_id = listing_by_id
-        self._current_count = current_count
-        self._may_raise = may_raise
-        self._on_count = on_count
+        self._current = current
+        self._may_replace = may_replace
+        self._tag = tag
+        self._on_layout = on_layout
         self._metrics = metrics
+        self._drifted_at: float | None = None
         self._store_health = StoreHealth("shards")
 
     async def run(self) -> None:
-        """Read the number of shards, then raise it when there are too many servers for it."""
+        """Read the layout, then replace it when it no longer suits the list of servers."""
         while True:
-            read = await self._store.read_shard_count()
+            read = await self._store.read_shard_layout()
             self._metrics.observe_store_call("read-shard-count", read)
             if not isinstance(read, Err):
                 break
             await self._store_health.handle_failure(read.err_value)
         self._store_health.handle_success()
-        self._on_count(read.ok_value)
+        self._on_layout(read.ok_value)
         while True:
             await anyio.sleep(SHARD_CHECK_INTERVAL_S)
-            wanted = shard_count_for(len(self._listing_by_id()))
-            if self._may_raise() and wanted > self._current_count():
-                written = await self._store.write_shard_count(wanted)
-                self._metrics.observe_store_call("write-shard-count", written)
-                if isinstance(written, Err):
-                    await self._store_health.handle_failure(written.err_value)
-                else:
-                    self._store_health.handle_success()
-                    self._on_count(wanted)
+            sizes = self._find_new_sizes(current_time())
+            if sizes is None:
+                continue
+            revision = new_term(
+                time.time_ns() // 1_000_000, self._tag, highest_seen=self._current().revision
+            )
+            layout = ShardLayout(revision, sizes)
+            written = await self._store.write_shard_layout(layout)
+            self._metrics.observe_store_call("write-shard-count", written)
+            if isinstance(written, Err):
+                await self._store_health.handle_failure(written.err_value)
+            else:
+                self._store_health.handle_success()
+                self._drifted_at = None
+                self._on_layout(layout)
+
+    def _find_new_sizes(self, now: float) -> tuple[int, ...] | None:
+        """Return the sizes of the shards for a new layout, or None if none is due here."""
+        if not self._may_replace():
+            self._drifted_at = None
+            return None
+        current = self._current()
+        listing_by_id = self._listing_by_id()
+        count = max(shard_count_for(len(listing_by_id)), current.shard_count)
+        sizes = tuple(shard_sizes(listing_by_id.values(), count))
+        if count > current.shard_count:
+            return sizes
+        if not have_drifted(sizes, current.sizes):
+            self._drifted_at = None
+            return None
+        if self._drifted_at is None:
+            self._drifted_at = now
+        return sizes if now - self._drifted_at >= DRIFT_PERIOD_S else None
 
 
 class VmDirectory:
--- a/packages/dispatch/tests/test_election.py
+++ b/packages/dispatch/tests/test_election.py
@@ -37,6 +37,7 @@
         weight=weight,
         term=owned_term,
         shards=shards,
+        layout_revision=1,
         owned_terms=[(0, owned_term)] if owned_term else [],
         heartbeat_ms=150,
         draining=False,
@@ -48,7 +49,7 @@
 
 def started_election(name: str = "me", weight: int = 1000) -> tuple[Election, float]:
     election = Election(name, weight, tag=1, started_at=0.0)
-    election.raise_shard_count(1)
+    election.set_shard_count(1)
     return election, STARTUP_GRACE_S
 
 
@@ -219,7 +220,7 @@
         Election(n, w, i, 0.0) for i, (n, w) in enumerate(zip(names, weights, strict=True))
     ]
     for election in elections:
-        election.raise_shard_count(shard_count)
+        election.set_shard_count(shard_count)
         for name, weight in zip(names, weights, strict=True):
             if name != election.incarnation:
                 election.observe(
@@ -243,7 +244,7 @@
 
 def test_shard_of_ended_owner_goes_to_process_without_shards() -> None:
     election = Election("d", 1000, 1, 0.0)
-    election.raise_shard_count(3)
+    election.set_shard_count(3)
     now = 10.0
     for sequence in (1, 2):
         election.observe(presence("b", sequence, shards=3, owned_terms=[(1, 7)]), now)
@@ -256,7 +257,7 @@
 
 def test_first_restarted_process_does_not_take_all_shards() -> None:
     election = Election("a", 1000, 1, 0.0)
-    election.raise_shard_count(3)
+    election.set_shard_count(3)
     election.end_startup_grace([listed("b"), listed("c")], {"b:1", "c:1"}, 0.1)
     assert [shard_owner.owner for shard_owner in election.decide(0.3, UNIX_MS)] == ["", "", ""]
 
@@ -264,7 +265,7 @@
 def test_owner_in_previous_layout_owns_no_shard_of_the_new_one() -> None:
     election, now = started_election()
     decide_after_hold_down(election, now)
-    election.raise_shard_count(2)
+    election.set_shard_count(2)
     assert election.owned_term_by_shard == {}
     election.observe(presence("old", shards=1, owned_term=9), now)
     assert [shard_owner.owner for shard_owner in election.decide(now, UNIX_MS)] == ["", ""]
@@ -288,7 +289,7 @@
     partitioned_at = 10.0
     owner, holder = Election("owner", 1000, 1, 0.0), Election("holder", 1000, 2, 0.0)
     for election in (owner, holder):
-        election.raise_shard_count(1)
+        election.set_shard_count(1)
         for number in range(peers - 1):
             election.observe(presence(f"p{number}", heartbeat_ms=60_000, weight=400), 0.0)
     # The last heartbeats in both directions: that of the holder arrives at the last moment, that
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -1,7 +1,7 @@
 """Jobs in the holder, the process to which their clients are connected."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 import pytest
@@ -14,9 +14,10 @@
     OwnerMessage,
     response_target_s,
 )
-from redwingport_dispatch.interfaces import JobRequest, Route, StepRequest, TaskShape
+from redwingport_dispatch.interfaces import JobRequest, Route, ShardLayout, StepRequest, TaskShape
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
+from redwingport_dispatch.ownership.shards import even_layout, rank_shards
 from redwingport_dispatch.scheduling.admission import TOO_LATE
 from redwingport_messages.dispatch import (
     CancelWork,
@@ -62,10 +63,15 @@
     return Job("0" * 16, ROUTE, request, now, now + 0.2, now + timeout_s)
 
 
+def set_owners(holder: Holder, shard_owners: Sequence[ShardOwner]) -> None:
+    """Set the owners of shards of equal size."""
+    holder.set_owners(shard_owners, even_layout(len(shard_owners)))
+
+
 async def run_job(job: Job, script: Callable[[Holder, Links], None], owner: str = "o") -> JobEnd:
     links = Links()
-    holder = Holder("me", links.send, lambda peer: 0.0, lambda count: [1] * count, Metrics())
-    holder.set_owners([ShardOwner(owner, 1)])
+    holder = Holder("me", links.send, lambda peer: 0.0, Metrics())
+    set_owners(holder, [ShardOwner(owner, 1)])
     ends: list[JobEnd] = []
 
     async def run() -> None:
@@ -100,7 +106,7 @@
         holder.handle_notification(
             "o", TaskNews([(1, 0, "done", 1, "s"), (1, 1, "placed", 4, "t")])
         )
-        holder.set_owners([ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("p", 2)])
         message = links.submissions()[-1]
         assert message.resumed
         assert message.tasks == [(1, 5, "t")]
@@ -113,9 +119,9 @@
     """The new owner may have started tasks in the meantime."""
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("p", 2)])
         holder.handle_notification("o", WorkRefused(1, 1, "too late", 1))
-        holder.set_owners([ShardOwner("o", 3)])
+        set_owners(holder, [ShardOwner("o", 3)])
         holder.handle_notification("o", WorkRefused(1, 1, "too late", 1))
 
     assert (await run_job(make_job(), script)).outcome is Outcome.UNKNOWN
@@ -128,11 +134,11 @@
     """
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("p", 2)])
         assert links.sent[-1] == ("o", ReleaseWork(1, 1))
         holder.resubmit("o")
         assert links.sent[-1] == ("o", ReleaseWork(1, 1))
-        holder.set_owners([ShardOwner("o", 1)])
+        set_owners(holder, [ShardOwner("o", 1)])
         assert links.sent[-1] == ("p", ReleaseWork(1, 2))
         holder.resubmit("o")
         assert isinstance(links.sent[-1][1], SubmitWork)
@@ -143,7 +149,7 @@
 async def test_work_item_is_kept_by_its_owner_until_the_next_one_is_reached() -> None:
     def script(holder: Holder, links: Links) -> None:
         links.up = False
-        holder.set_owners([ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("p", 2)])
         links.up = True
         holder.resubmit("o")
         assert not any(isinstance(message, ReleaseWork) for _, message in links.sent)
@@ -180,7 +186,7 @@
 
 async def test_job_that_an_owner_may_have_started_is_not_refused_at_its_deadline() -> None:
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("", 0)])
+        set_owners(holder, [ShardOwner("", 0)])
 
     assert (await run_job(make_job(), script)).outcome is Outcome.UNKNOWN
 
@@ -205,7 +211,7 @@
     """Only servers of one shard may have the label, or the service may have few servers."""
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2), ShardOwner("q", 3)])
+        set_owners(holder, [ShardOwner("p", 2), ShardOwner("q", 3)])
         first = links.sent[-1]
         others = {"p": ("q", 3), "q": ("p", 2)}
         other, term = others[first[0]]
@@ -230,7 +236,7 @@
 
     def script(holder: Holder, links: Links) -> None:
         shard_owners = [ShardOwner("p", 2), ShardOwner("q", 3), ShardOwner("r", 4)]
-        holder.set_owners(shard_owners)
+        set_owners(holder, shard_owners)
         for _ in range(2):
             owner, message = links.sent[-1]
             assert isinstance(message, SubmitWork)
@@ -252,7 +258,7 @@
 
     def script(holder: Holder, links: Links) -> None:
         shard_owners = [ShardOwner("p", 2), ShardOwner("q", 3), ShardOwner("r", 4)]
-        holder.set_owners(shard_owners)
+        set_owners(holder, shard_owners)
         for _ in range(2):
             owner, message = links.sent[-1]
             assert isinstance(message, SubmitWork)
@@ -277,8 +283,8 @@
     """Guard against a refusal, which promises that nothing has run, after a lost notification."""
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2)])
-        holder.set_owners([ShardOwner("o", 1)])
+        set_owners(holder, [ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("o", 1)])
         refuse_last_offer(holder, links, 1)
 
     assert (await run_job(make_job(), script)).outcome is Outcome.UNKNOWN
@@ -288,11 +294,11 @@
     """Guard against a refusal, which promises that nothing has run, after a lost notification."""
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2), ShardOwner("p", 3)])
+        set_owners(holder, [ShardOwner("p", 2), ShardOwner("p", 3)])
         shard = links.submissions()[-1].shard
         owners = [ShardOwner("", 0), ShardOwner("", 0)]
         owners[shard] = ShardOwner("q", 4)
-        holder.set_owners(owners)
+        set_owners(holder, owners)
         refuse_last_offer(holder, links, 4)
 
     assert (await run_job(make_job(), script, owner="")).outcome is Outcome.UNKNOWN
@@ -302,10 +308,10 @@
     """Guard against a shard that starts at once what an earlier owner of another one may run."""
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2), ShardOwner("p", 3)])
+        set_owners(holder, [ShardOwner("p", 2), ShardOwner("p", 3)])
         first = links.submissions()[-1]
         assert not first.resumed
-        holder.set_owners([ShardOwner("q", 4), ShardOwner("q", 5)])
+        set_owners(holder, [ShardOwner("q", 4), ShardOwner("q", 5)])
         refuse_last_offer(holder, links, 4 + first.shard)
         second = links.submissions()[-1]
         assert second.shard != first.shard
@@ -320,11 +326,11 @@
 
     def script(holder: Holder, links: Links) -> None:
         assert not links.submissions()[-1].other_servers
-        holder.set_owners([ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("p", 2)])
         assert not links.submissions()[-1].other_servers
-        holder.set_owners([ShardOwner("q", 3), ShardOwner("q", 4)])
+        set_owners(holder, [ShardOwner("q", 3), ShardOwner("q", 4)])
         assert links.submissions()[-1].other_servers
-        holder.set_owners([ShardOwner("r", 5), ShardOwner("r", 6)])
+        set_owners(holder, [ShardOwner("r", 5), ShardOwner("r", 6)])
         message = links.submissions()[-1]
         assert message.other_servers
         assert message.resumed
@@ -336,8 +342,8 @@
     """Guard against a start judged by the lists of this shard's servers alone."""
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("p", 2), ShardOwner("p", 3)])
-        holder.set_owners([ShardOwner("q", 4), ShardOwner("q", 5)])
+        set_owners(holder, [ShardOwner("p", 2), ShardOwner("p", 3)])
+        set_owners(holder, [ShardOwner("q", 4), ShardOwner("q", 5)])
         refuse_last_offer(holder, links, 4 + links.submissions()[-1].shard)
         assert links.submissions()[-1].other_servers
 
@@ -348,15 +354,13 @@
     """Guard against a wait that ends before the leases of an owner two changes ago."""
     links = Links()
     unheard_s = {"o": 0.1, "p": 0.9}
-    holder = Holder(
-        "me", links.send, lambda peer: unheard_s.get(peer, 0.0), lambda count: [1], Metrics()
-    )
-    holder.set_owners([ShardOwner("o", 1)])
+    holder = Holder("me", links.send, lambda peer: unheard_s.get(peer, 0.0), Metrics())
+    set_owners(holder, [ShardOwner("o", 1)])
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(holder.run, make_job())
         await anyio.sleep(0.01)
-        holder.set_owners([ShardOwner("p", 2)])
-        holder.set_owners([ShardOwner("q", 3)])
+        set_owners(holder, [ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("q", 3)])
         task_group.cancel_scope.cancel()
     assert [message.unheard_ms for message in links.submissions()] == [0, 100, 100]
 
@@ -368,8 +372,8 @@
         shards: list[int] = []
 
         def script(holder: Holder, links: Links) -> None:
-            holder.set_owners(
-                [ShardOwner(owner, number) for number, owner in enumerate("pqrs", 1)]
+            set_owners(
+                holder, [ShardOwner(owner, number) for number, owner in enumerate("pqrs", 1)]
             )
             for _ in range(2):
                 owner, message = links.sent[-1]
@@ -383,6 +387,31 @@
     assert await find_offers() == await find_offers()
 
 
+# Guards against two shards that run one job: an owner ignores what was submitted by an older
+# layout than its own, and two processes may learn of a layout one after the other.
+async def test_work_items_are_submitted_again_by_a_new_layout_of_the_same_shards() -> None:
+    owners = [ShardOwner("o", 1), ShardOwner("p", 2)]
+    sizes = next(
+        sizes
+        for sizes in ((1, 9), (9, 1))
+        if rank_shards("0" * 16, sizes) != rank_shards("0" * 16, (1, 1))
+    )
+
+    def script(holder: Holder, links: Links) -> None:
+        set_owners(holder, owners)
+        [first] = links.submissions()
+        holder.set_owners(owners, ShardLayout(7, sizes))
+        second = links.submissions()[-1]
+        assert (first.layout_revision, second.layout_revision) == (2, 7)
+        assert (first.shard, second.shard) == (
+            rank_shards("0" * 16, (1, 1))[0],
+            rank_shards("0" * 16, sizes)[0],
+        )
+        assert second.resumed and second.other_servers
+
+    await run_job(make_job(), script, owner="")
+
+
 def logged(caplog: pytest.LogCaptureFixture, event: str) -> list[dict[str, object]]:
     """Return the fields of the lines of an event."""
     return [vars(record)["fields"] for record in caplog.records if record.getMessage() == event]
@@ -395,7 +424,7 @@
 
     def script(holder: Holder, links: Links) -> None:
         holder.handle_notification("o", TaskNews([(1, 0, "done", 1, "s")]))
-        holder.set_owners([ShardOwner("p", 2)])
+        set_owners(holder, [ShardOwner("p", 2)])
         holder.handle_notification("p", TaskNews([(1, 1, "done", 2, "t")]))
 
     await run_job(make_job(), script)
@@ -413,7 +442,7 @@
     caplog.set_level(logging.INFO)
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner("o", 1), ShardOwner("p", 2), ShardOwner("q", 3)])
+        set_owners(holder, [ShardOwner("o", 1), ShardOwner("p", 2), ShardOwner("q", 3)])
         for _ in range(2):
             owner, message = next(
                 (owner, message)
@@ -435,7 +464,7 @@
     caplog.set_level(logging.INFO)
 
     def script(holder: Holder, links: Links) -> None:
-        holder.set_owners([ShardOwner(f"o{shard}", 2) for shard in range(8)])
+        set_owners(holder, [ShardOwner(f"o{shard}", 2) for shard in range(8)])
 
     await run_job(make_job(), script)
     [moved] = logged(caplog, "works-moved")
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -62,6 +62,7 @@
         work_id=1,
         job_id="0" * 16,
         shard=0,
+        layout_revision=1,
         step=0,
         service="desk",
         spec="",
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -55,7 +55,7 @@
 
     def _describe(self) -> Presence:
         return Presence(
-            self.name, 1, self.name, "d", self.address, 1000, 0, 1, [], 150, False, True, 1
+            self.name, 1, self.name, "d", self.address, 1000, 0, 1, 1, [], 150, False, True, 1
         )
 
 
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -29,6 +29,7 @@
     :param term: highest term of an owner known to the sender.
     :param shards: number of shards into which the backend servers are divided; 0 while unknown to
         the sender.
+    :param layout_revision: revision of the layout of the shards that the sender uses.
     :param owned_terms: pairs of shard number and term for each shard owned by the sender.
     :param heartbeat_ms: time until the next heartbeat, in milliseconds.
     :param draining: whether the sender is shutting down.
@@ -44,6 +45,7 @@
     weight: Count
     term: Count
     shards: Count
+    layout_revision: Count
     owned_terms: list[tuple[Count, Count]]
     heartbeat_ms: Count
     draining: bool
@@ -70,6 +72,7 @@
     :param priority: scheduling priority; 0 is served first.
     :param attempts: number of failed runs of a task after which its job fails.
     :param shard: shard to whose owner the message is addressed.
+    :param layout_revision: revision of the layout by which the sender has chosen the shard.
     :param waited_ms: time since the sender received the job, in milliseconds.
     :param target_ms: time left until the answer is late, in milliseconds.
     :param deadline_ms: time left until the client gives up, in milliseconds.
@@ -88,6 +91,7 @@
     work_id: Count
     job_id: str
     shard: Count
+    layout_revision: Count
     step: Count
     service: str
     spec: str
@@ -173,6 +177,28 @@
     term: Count
 
 
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class LayoutQuery:
+    """Request the layout of the shards if it is newer than a revision.
+
+    :param revision: revision of the layout that the sender uses.
+    """
+
+    revision: Count
+
+
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class LayoutAnswer:
+    """Return the layout of the shards.
+
+    :param revision: revision of the layout.
+    :param sizes: processor capacity of each shard, in thousandths of a core.
+    """
+
+    revision: Annotated[int, Field(ge=1)]
+    sizes: Annotated[list[Count], Field(min_length=1)]
+
+
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class ConfigurationQuery:
     """Request the configuration if it is newer than a revision.
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -13,6 +13,8 @@
     CancelWork,
     ConfigurationAnswer,
     ConfigurationQuery,
+    LayoutAnswer,
+    LayoutQuery,
     Presence,
     ReleaseWork,
     SubmitWork,
@@ -221,6 +223,8 @@
     | WorkAbandoned
     | ConfigurationQuery
     | ConfigurationAnswer
+    | LayoutQuery
+    | LayoutAnswer
 )
 
 
@@ -270,6 +274,8 @@
     20: _codec(ConfigurationAnswer),
     21: _codec(WorkAbandoned),
     22: _codec(ReleaseWork),
+    23: _codec(LayoutQuery),
+    24: _codec(LayoutAnswer),
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
--- a/packages/testbed/src/redwingport_testbed/shards/simulation.py
+++ b/packages/testbed/src/redwingport_testbed/shards/simulation.py
@@ -7,7 +7,7 @@
 import anyio
 
 from redwingport_dispatch.holder import Holder, Job, JobEnd, OwnerMessage, response_target_s
-from redwingport_dispatch.interfaces import ServerListing
+from redwingport_dispatch.interfaces import ServerListing, ShardLayout
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.ownership.election import ShardOwner
@@ -141,7 +141,6 @@
             incarnation=HOLDER,
             send=self._send,
             unheard_s=lambda owner: 0.0,
-            shard_sizes=lambda count: shard_sizes(self.listing_by_id.values(), count),
             metrics=Metrics(),
         )
         self._plans = plans
@@ -154,7 +153,9 @@
             self._shard_by_name = {shard.name: shard for shard in shards}
             for shard in shards:
                 self._task_group.start_soon(shard.owner.run, shard.listing_by_id)
-            self.holder.set_owners([ShardOwner(shard.name, TERM) for shard in shards])
+            sizes = shard_sizes(self.listing_by_id.values(), self.deployment.shards)
+            layout = ShardLayout(1, tuple(sizes))
+            self.holder.set_owners([ShardOwner(shard.name, TERM) for shard in shards], layout)
             # Owners use a server after its first report.
             await anyio.sleep(10 * self.deployment.exchange_s)
             started_at = anyio.current_time()
--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -24,11 +24,17 @@
     ServerChanges,
     ServerListing,
     ServerTable,
+    ShardLayout,
     StepRequest,
     TaskShape,
     VmRecord,
 )
-from redwingport_dispatch.ownership.shards import rank_shards, shard_of, shard_sizes
+from redwingport_dispatch.ownership.shards import (
+    even_layout,
+    rank_shards,
+    shard_of,
+    shard_sizes,
+)
 from redwingport_dispatch.process import DispatchProcess
 from redwingport_dispatch.settings import Settings
 from redwingport_entry.logs import DECISIONS, ROOT
@@ -92,7 +98,7 @@
     listing_by_id: dict[str, ServerListing] = field(default_factory=dict)
     changes: list[tuple[int, str]] = field(default_factory=list)
     record_by_vm: dict[str, VmRecord] = field(default_factory=dict)
-    shard_count: int = 1
+    layout: ShardLayout = field(default_factory=lambda: even_layout(1))
     revision: int = 1
 
     def put(self, listing: ServerListing) -> None:
@@ -167,15 +173,15 @@
         self._state.record_by_vm[record.vm] = record
         return Ok(None)
 
-    async def read_shard_count(self) -> Result[int, StoreError]:
-        """Return the number of shards; see :class:`PlatformStore`."""
-        return Ok(self._state.shard_count) if await self._reach() else self._error()
+    async def read_shard_layout(self) -> Result[ShardLayout, StoreError]:
+        """Return the layout of the shards; see :class:`PlatformStore`."""
+        return Ok(self._state.layout) if await self._reach() else self._error()
 
-    async def write_shard_count(self, count: int) -> Result[None, StoreError]:
-        """Raise the number of shards; see :class:`PlatformStore`."""
+    async def write_shard_layout(self, layout: ShardLayout) -> Result[None, StoreError]:
+        """Replace the layout of the shards; see :class:`PlatformStore`."""
         if not await self._reach():
             return self._error()
-        self._state.shard_count = max(count, self._state.shard_count)
+        self._state.layout = layout
         return Ok(None)
 
     async def read_vms(self) -> Result[Sequence[VmRecord], StoreError]:
@@ -321,7 +327,7 @@
         self._next_job = 0
         self._servers_per_shard = servers_per_shard
         self._timeout_s = timeout_s
-        self.store = StoreState(Node("store", self.domains[-1]), shard_count=shards)
+        self.store = StoreState(Node("store", self.domains[-1]), layout=even_layout(shards))
         for _ in range(servers):
             self.add_server()
         for number, count in enumerate(entries_per_domain):
@@ -341,6 +347,7 @@
             ids = types.SimpleNamespace(token_hex=self._token_hex)
             for target, value in (
                 ("redwingport_dispatch.process.time", clock),
+                ("redwingport_dispatch.watchers.time", clock),
                 ("redwingport_dispatch.process.secrets", ids),
                 (
                     "redwingport_dispatch.ownership.shards.SERVERS_PER_SHARD",
@@ -468,10 +475,15 @@
 
     def raise_shards(self, entry: Entry, count: int) -> None:
         """Let a process learn of a higher number of shards, which it tells the others."""
-        self.store.shard_count = count
+        sizes = tuple(shard_sizes(self.store.listing_by_id.values(), count))
+        self.replace_layout(entry, sizes)
+
+    def replace_layout(self, entry: Entry, sizes: tuple[int, ...]) -> None:
+        """Let a process learn of a newer layout, which it tells the others."""
+        self.store.layout = ShardLayout(self.store.layout.revision + 1, sizes)
         assert entry.process is not None
         assert entry.node.loop is not None
-        entry.node.loop.call_soon(entry.process._raise_shard_count, count)
+        entry.node.loop.call_soon(entry.process._apply_layout, self.store.layout)
 
     # Network of the processes
 
@@ -513,7 +525,7 @@
         return [
             server
             for server_id, server in self.server_by_id.items()
-            if shard_of(server_id, self.store.shard_count) == shard
+            if shard_of(server_id, self.store.layout.shard_count) == shard
         ]
 
     def add_server(self, domain: str = "", cpu_millis: int = 16000) -> ModelServer:
@@ -625,8 +637,7 @@
 
         :param shard: shard to which the job is offered first; None for any.
         """
-        listings = self.store.listing_by_id.values()
-        sizes = shard_sizes(listings, self.store.shard_count)
+        sizes = self.store.layout.sizes
         self._next_job += 1
         while shard not in (None, rank_shards(f"{self._next_job:016x}", sizes)[0]):
             self._next_job += 1
@@ -749,7 +760,14 @@
 
     def explain(self, job_id: str) -> str:
         """Return the recorded events of a job, and those that concern owners, as text."""
-        names = {"holder-dropped", "shards-raised", "drain-started", "owner-challenged", "fault"}
+        names = {
+            "holder-dropped",
+            "shards-raised",
+            "shards-resized",
+            "drain-started",
+            "owner-challenged",
+            "fault",
+        }
         lines = [
             f"attempt {a.number} at {a.sent_at:.3f} through {a.entry.node.name}: {a.status}"
             for a in self.attempts
