Pass over the queue of an owner once for each iteration of its event loop

Change: reports and work items request a pass, which runs once for all that arrived in an iteration; only servers with capacity for the smallest waiting task are looked at.

--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -66,7 +66,9 @@
         metrics: Metrics,
     ) -> None:
         self.term = term
-        self.scheduler = Scheduler(self, settings.bounds)
+        # During a burst, many reports and work items arrive in one iteration of the event loop. A
+        # pass over the queue for each of them would take most of the processor time.
+        self.scheduler = Scheduler(self, settings.bounds, self._request_dispatch)
         for listing in listing_by_id.values():
             self.scheduler.set_server(listing)
         self._shard = shard
@@ -79,7 +81,8 @@
         self._session_by_server: dict[str, ServerSession] = {}
         self._cancel_scope_by_server: dict[str, anyio.CancelScope] = {}
         self._events_by_holder: dict[str, list[tuple[int, int, TaskEvent, int, str]]] = {}
-        self._has_events = asyncio.Event()
+        self._dispatch_due = False
+        self._has_work = asyncio.Event()
         self._task_group: TaskGroup | None = None
         self._stopped = anyio.Event()
 
@@ -88,7 +91,7 @@
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
             self.update_servers(listing_by_id, store_is_fresh=True)
-            task_group.start_soon(self._send_events)
+            task_group.start_soon(self._dispatch_and_send)
             task_group.start_soon(self._tick)
             await self._stopped.wait()
             task_group.cancel_scope.cancel()
@@ -300,14 +303,21 @@
         log_event(decisions, logging.INFO, event, term=self.term, shard=self._shard, **fields)
 
     def _add_event(self, work: Work, event: tuple[int, int, TaskEvent, int, str]) -> None:
-        self._has_events.set()
+        self._has_work.set()
         self._events_by_holder.setdefault(work.holder, []).append(event)
 
-    async def _send_events(self) -> None:
-        """Send the task events of one iteration of the event loop in one message."""
+    def _request_dispatch(self) -> None:
+        self._dispatch_due = True
+        self._has_work.set()
+
+    async def _dispatch_and_send(self) -> None:
+        """Start tasks and send task events, once for each iteration of the event loop."""
         while True:
-            await self._has_events.wait()
-            self._has_events.clear()
+            await self._has_work.wait()
+            self._has_work.clear()
+            if self._dispatch_due:
+                self._dispatch_due = False
+                self.scheduler.dispatch(current_time())
             self._flush_task_events()
 
     def _flush_task_events(self) -> None:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler of an owner: decides where and when tasks start, and tracks their runs."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import (
@@ -63,9 +63,16 @@
 
     :param effects: carries out the decisions.
     :param bounds: time bounds and factors of the platform.
+    :param on_dispatch_due: called when queued tasks may be able to start, for a call of
+        :meth:`dispatch` soon; None for a pass over the queue after each change.
     """
 
-    def __init__(self, effects: Effects, bounds: BoundSettings) -> None:
+    def __init__(
+        self,
+        effects: Effects,
+        bounds: BoundSettings,
+        on_dispatch_due: Callable[[], None] | None = None,
+    ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
         self.run_by_task: dict[str, Run] = {}
@@ -74,6 +81,7 @@
         self._effects = effects
         self._review = QueueReview(self)
         self._bounds = bounds
+        self._on_dispatch_due = on_dispatch_due
         self._ejector = Ejector(failures_in_a_row=FAILURES_IN_A_ROW)
         self._server_finder = ServerFinder(self.speeds, self._ejector, bounds.far_factor)
         self._blocked: set[Work] = set()
@@ -106,7 +114,7 @@
         for run in list(server.run_by_task.values()):
             self._forget_run(run, RunOver.SERVER_REMOVED)
             self._requeue(run, now)
-        self.dispatch(now)
+        self._request_dispatch(now)
 
     def usable_servers(self, now: float) -> list[ServerState]:
         """Return the servers that may get a task now."""
@@ -187,7 +195,7 @@
         if not resumed and self._review.refuse_on_arrival(work, self.queue, now):
             return
         self._unblock_tasks(now)
-        self.dispatch(now)
+        self._request_dispatch(now)
 
     def cancel(self, key: WorkKey, now: float) -> None:
         """Cancel a work item: stop its runs and drop its queued tasks."""
@@ -195,7 +203,7 @@
         work = self.work_by_key.get(key)
         if work is not None:
             self._drop_work(work, now)
-            self.dispatch(now)
+            self._request_dispatch(now)
 
     def release(self, key: WorkKey, now: float) -> None:
         """Give up a work item that its holder has submitted to another owner.
@@ -223,7 +231,7 @@
         for work in works:
             self._drop_work(work, now, logs_ends=True)
         if works:
-            self.dispatch(now)
+            self._request_dispatch(now)
         return len(works)
 
     def _admit_task(self, work: Work, task: Task, placed_on: str, resumed: bool) -> None:
@@ -292,26 +300,50 @@
 
     # Placement
 
+    def _request_dispatch(self, now: float) -> None:
+        """Start queued tasks now, or when the caller runs the requested pass over the queue."""
+        if self._on_dispatch_due is not None:
+            self._on_dispatch_due()
+        else:
+            self.dispatch(now)
+
     def dispatch(self, now: float) -> None:
         """Start queued tasks while servers have capacity for them."""
         if not len(self.queue) or now < self._placement_paused_until:
             return
-        usable = self._server_finder.estimate_slowness(self.usable_servers(now))
-        max_free_cpu_millis = max((server.free_cpu_millis for server in usable), default=0)
+        # While there is a queue, most work items find no capacity and most servers have none, so
+        # both are sorted out by a single number.
+        min_cpu_millis = min(work.shape.cpu_millis for work in self.queue)
+        servers = self.usable_servers(now)
+        open_servers = self._find_open_servers(servers, min_cpu_millis)
+        if not open_servers:
+            return
+        usable = self._server_finder.estimate_slowness(servers)
+        max_free_cpu_millis = max(server.free_cpu_millis for server in open_servers)
         upcoming_slots = UpcomingSlots(usable, now)
         for work in self.queue:
-            # While there is a queue, most work items find no capacity, so check that cheaply.
             if work.shape.cpu_millis > max_free_cpu_millis:
                 continue
-            if self._place_work(work, usable, upcoming_slots, now):
+            runs_before = len(self.run_by_task)
+            if self._place_work(work, open_servers, usable, upcoming_slots, now):
                 self.queue.remove(work)
-            max_free_cpu_millis = max(server.free_cpu_millis for server in usable)
-            if max_free_cpu_millis <= 0:
+            if len(self.run_by_task) == runs_before:
+                continue
+            open_servers = self._find_open_servers(open_servers, min_cpu_millis)
+            if not open_servers:
                 return
+            max_free_cpu_millis = max(server.free_cpu_millis for server in open_servers)
+
+    @staticmethod
+    def _find_open_servers(
+        servers: Sequence[ServerState], cpu_millis: int
+    ) -> Sequence[ServerState]:
+        return [server for server in servers if server.free_cpu_millis >= max(cpu_millis, 1)]
 
     def _place_work(
         self,
         work: Work,
+        open_servers: Sequence[ServerState],
         usable: dict[ServerState, float],
         upcoming_slots: UpcomingSlots,
         now: float,
@@ -321,7 +353,7 @@
         A task that would be late on the servers with capacity waits for an upcoming slot, if it
         would end much sooner in one.
         """
-        expected_s_by_server = self._server_finder.find(work, usable, now)
+        expected_s_by_server = self._server_finder.find(work, open_servers, usable, now)
         all_started = True
         for task in work.queued_tasks():
             placement = choose_server(expected_s_by_server, now, work.target_at)
@@ -400,7 +432,7 @@
         self._handle_rejected_start(server, run, failure, now)
         self._forget_run(run, RunOver.START_REJECTED)
         self._requeue(run, now)
-        self.dispatch(now)
+        self._request_dispatch(now)
 
     def _handle_rejected_start(
         self, server: ServerState, run: Run, failure: OrderFailure, now: float
@@ -443,7 +475,7 @@
         if server is not None and server.suspect:
             server.suspect = False
             self._effects.log_decision("server-answered", server=server_id)
-            self.dispatch(now)
+            self._request_dispatch(now)
 
     def handle_unreachable(self, server_id: str) -> None:
         """Handle a failed lease renewal: the server gets no task until it answers again."""
@@ -509,7 +541,7 @@
         server.suspect = False
         server.full = False
         self._unblock_tasks(now)
-        self.dispatch(now)
+        self._request_dispatch(now)
 
     def handle_restart(self, server_id: str, now: float) -> None:
         """Handle a restart of a server, which ended all accepted runs there.
@@ -557,7 +589,7 @@
             elif run.work is not None and is_late(run, run.work, now):
                 others = [other for other in self.usable_servers(now) if other is not server]
                 expected_s_by_server = self._server_finder.find(
-                    run.work, self._server_finder.estimate_slowness(others), now
+                    run.work, others, self._server_finder.estimate_slowness(others), now
                 )
                 if ends_sooner_elsewhere(run, run.work, expected_s_by_server.values(), now):
                     self._log_moved("run-too-slow", run)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
@@ -36,7 +36,11 @@
         return expected_run_s(server, work.shape, slowness, self._far_factor)
 
     def find(
-        self, work: Work, slowness_by_server: Mapping[ServerState, float], now: float
+        self,
+        work: Work,
+        open_servers: Iterable[ServerState],
+        slowness_by_server: Mapping[ServerState, float],
+        now: float,
     ) -> dict[ServerState, float]:
         """Return the servers with capacity for a task, and its expected run time on each.
 
@@ -44,14 +48,14 @@
         capacity now, can still meet it with certainty and have room for all waiting tasks.
 
         :param work: the work item of the task.
-        :param slowness_by_server: usable servers and their likely slowness.
+        :param open_servers: usable servers that may have capacity.
+        :param slowness_by_server: all usable servers and their likely slowness.
         :param now: monotonic time, in seconds.
         :returns: expected run times in seconds, by server.
         """
         run_s_by_server = {
-            server: self.expected_run_s(server, work, slowness)
-            for server, slowness in slowness_by_server.items()
-            # While there is a queue, few servers have capacity, so that is checked first.
+            server: self.expected_run_s(server, work, slowness_by_server[server])
+            for server in open_servers
             if server.has_room(work.shape)
             and _could_run(server, work)
             and self.accepts(server, work, now)
