Send heartbeats that change nothing in a short form

Cause: with 40 processes and 8 owners some 4,000 presence messages a second are sent; building, sending, checking and comparing them is most of what processes without traffic do. Change: a heartbeat whose contents are those of the last one on its connection is sent as its sequence number.

--- a/packages/dispatch/src/redwingport_dispatch/connections.py
+++ b/packages/dispatch/src/redwingport_dispatch/connections.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from redwingport_messages.dispatch import Presence
 from redwingport_messages.exceptions import MessageError
 from redwingport_messages.frames import (
     LENGTH_BYTES,
@@ -88,6 +89,7 @@
         the link, or an unexpected one that was raised by `on_message`.
     :ivar peer: address of the sender once it is known; used in errors.
     :ivar incarnation: incarnation of the sender; empty until it is known.
+    :ivar presence: last presence message of the sender; None before the first.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
     ) -> None:
         self.peer = "incoming"
         self.incarnation = ""
+        self.presence: Presence | None = None
         self._on_message = on_message
         self._on_end = on_end
         self._transport: asyncio.Transport | None = None
--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -50,11 +50,13 @@
     """Hold the last known state of a peer.
 
     :param presence: its last presence message.
-    :param received_at: monotonic time of that message, in seconds.
+    :param received_at: monotonic time of its last heartbeat, in seconds.
+    :param sequence: sequence number of its last heartbeat.
     """
 
     presence: Presence
     received_at: float
+    sequence: int
 
     @property
     def liveness_timeout_s(self) -> float:
@@ -104,7 +106,7 @@
             peer that was unknown or had timed out.
         """
         view = self.peer_by_incarnation.get(presence.incarnation)
-        if view is not None and presence.sequence < view.presence.sequence:
+        if view is not None and presence.sequence < view.sequence:
             return False
         was_live = view is not None and now - view.received_at < view.liveness_timeout_s
         changed = (
@@ -112,11 +114,30 @@
             or not was_live
             or _ownership_claims(view.presence) != _ownership_claims(presence)
         )
-        self.peer_by_incarnation[presence.incarnation] = PeerView(presence, now)
+        self.peer_by_incarnation[presence.incarnation] = PeerView(presence, now, presence.sequence)
         terms = [term for _, term in presence.owned_terms]
         self.highest_term = max(self.highest_term, presence.term, *terms)
         return changed
 
+    def renew(self, presence: Presence, sequence: int, now: float) -> bool:
+        """Record a heartbeat that repeats the last presence message of a live peer.
+
+        :param presence: the repeated message.
+        :param sequence: sequence number of the heartbeat.
+        :returns: whether that message is the last one of the peer, which has not timed out since;
+            otherwise nothing is recorded.
+        """
+        view = self.peer_by_incarnation.get(presence.incarnation)
+        if (
+            view is None
+            or view.presence is not presence
+            or now - view.received_at >= view.liveness_timeout_s
+        ):
+            return False
+        view.received_at = now
+        view.sequence = max(view.sequence, sequence)
+        return True
+
     def set_shard_count(self, count: int) -> None:
         """Apply another number of shards; shards owned in the previous layout are given up."""
         self.shard_count = count
--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -9,14 +9,14 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
 from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.connections import IncomingConnection, OutgoingConnection
 from redwingport_entry.logs import ROOT, log_event
-from redwingport_messages.dispatch import Presence
+from redwingport_messages.dispatch import Presence, PresenceUnchanged
 from redwingport_messages.exceptions import MessageError
 from redwingport_messages.frames import Frame
 
@@ -54,6 +54,8 @@
     :param queue: messages to be sent; None while the link is not open.
     :param has_work: set when a message is queued or a heartbeat is due.
     :param heartbeat_due: whether the next heartbeat is due.
+    :param sent_state: state of this process in the last presence message on the connection; None
+        if the next heartbeat has to be a presence message.
     :param wake: ends the delay before the next attempt to connect.
     """
 
@@ -64,6 +66,7 @@
     queue: deque[Frame] | None = None
     has_work: asyncio.Event = field(default_factory=asyncio.Event)
     heartbeat_due: bool = False
+    sent_state: object = None
     wake: anyio.Event = field(default_factory=anyio.Event)
 
     def note_heartbeat_due(self) -> None:
@@ -77,8 +80,13 @@
     :param address: IP:PORT on which this process accepts connections of peers.
     :param heartbeat_s: returns the heartbeat interval to a peer, by incarnation, in seconds.
     :param describe: builds the presence message of this process for a peer, by incarnation.
+    :param state: returns what that message would contain, but for constants and the sequence
+        number.
+    :param next_sequence: returns the sequence number of the next heartbeat.
     :param is_reachable: tells whether heartbeats to and from a peer arrive, by incarnation.
     :param on_message: called with the incarnation of the sender and its message.
+    :param on_unchanged: called with a presence message that a heartbeat repeats and the sequence
+        number of the heartbeat; returns whether nothing else has to be done.
     :param on_link: called with the incarnation of a peer to or from which a link was opened.
     :param on_refused: called with the incarnation of a peer whose address refuses connections.
     """
@@ -88,16 +96,22 @@
         address: str,
         heartbeat_s: Callable[[str], float],
         describe: Callable[[str], Presence],
+        state: Callable[[str], object],
+        next_sequence: Callable[[], int],
         is_reachable: Callable[[str], bool],
         on_message: Callable[[str, Frame], None],
+        on_unchanged: Callable[[Presence, int], bool],
         on_link: Callable[[str], None],
         on_refused: Callable[[str], None],
     ) -> None:
         self._address = address
         self._heartbeat_s = heartbeat_s
         self._describe = describe
+        self._state = state
+        self._next_sequence = next_sequence
         self._is_reachable = is_reachable
         self._on_message = on_message
+        self._on_unchanged = on_unchanged
         self._on_link = on_link
         self._on_refused = on_refused
         self._link_by_address: dict[str, _OutgoingLink] = {}
@@ -162,6 +176,8 @@
         if len(link.queue) >= MAX_QUEUED_MESSAGES:
             log_event(logger, logging.WARNING, "peer-queue-full", peer=link.address)
             return False
+        if isinstance(message, Presence):
+            link.sent_state = None
         link.queue.append(message)
         link.has_work.set()
         return True
@@ -212,6 +228,7 @@
     async def _send_all(self, link: _OutgoingLink, connection: OutgoingConnection) -> None:
         link.queue = deque()
         link.connected_at = current_time()
+        link.sent_state = None
         await self._send_presence(link, connection)
         log_event(logger, logging.INFO, "peer-link-opened", peer=link.address)
         if link.incarnation:
@@ -251,6 +268,12 @@
             timer.cancel()
 
     async def _send_presence(self, link: _OutgoingLink, connection: OutgoingConnection) -> None:
+        state = self._state(link.incarnation)
+        if state == link.sent_state:
+            await connection.send([PresenceUnchanged(self._next_sequence())])
+            return
+        # The state is not kept across a wait, in which a queued presence message may be sent.
+        link.sent_state = state
         await connection.send([self._describe(link.incarnation)])
 
     def _check_reachable(self, link: _OutgoingLink) -> None:
@@ -266,11 +289,21 @@
         if isinstance(message, Presence):
             is_new = message.incarnation != connection.incarnation
             connection.incarnation = message.incarnation
+            connection.presence = message
             connection.peer = message.address
             self._note_presence(message)
             self._on_message(message.incarnation, message)
             if is_new:
                 self._on_link(message.incarnation)
+        elif isinstance(message, PresenceUnchanged):
+            presence = connection.presence
+            if presence is None:
+                raise MessageError("receive frame", connection.peer, "no presence message before")
+            self._note_presence(presence)
+            if not self._on_unchanged(presence, message.sequence):
+                # The peer has timed out or was removed since: handle its presence anew.
+                connection.presence = replace(presence, sequence=message.sequence)
+                self._on_message(presence.incarnation, connection.presence)
         elif connection.incarnation:
             self._on_message(connection.incarnation, message)
 
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -140,8 +140,11 @@
             settings.listen.peers,
             self._election.heartbeat_s,
             self._describe,
+            self._summarize,
+            lambda: next(self._sequence),
             lambda peer: self._election.is_reachable(peer, current_time()),
             self._handle_message,
+            lambda presence, sequence: self._election.renew(presence, sequence, current_time()),
             self._handle_link,
             self._shorten_peer_timeout,
         )
@@ -396,6 +399,19 @@
 
     # Messages
 
+    def _summarize(self, peer: str) -> object:
+        """Return the fields of the presence message for a peer that change with time."""
+        election = self._election
+        return (
+            election.highest_term,
+            self._shard_layout.revision,
+            sorted(election.owned_term_by_shard.items()),
+            election.heartbeat_s(peer),
+            self.draining,
+            election.receives_heartbeats_from(peer, current_time()),
+            self._configuration.revision,
+        )
+
     def _describe(self, peer: str) -> Presence:
         return Presence(
             incarnation=self.incarnation,
--- a/packages/dispatch/tests/test_election.py
+++ b/packages/dispatch/tests/test_election.py
@@ -336,3 +336,31 @@
     election.observe(presence("a", heartbeat_ms=600), 0.0)
     assert election.receives_heartbeats_from("a", 1.9)
     assert not election.receives_heartbeats_from("a", 2.1)
+
+
+def test_short_heartbeat_keeps_a_peer_reachable() -> None:
+    election, _ = started_election()
+    message = presence("other")
+    election.observe(message, 1.0)
+    assert election.renew(message, 2, 1.4)
+    assert election.is_reachable("other", 1.8)
+    assert not election.is_reachable("other", 2.0)
+
+
+# Guards against an ownership claim of an old link that replaces what newer heartbeats repeat.
+def test_presence_older_than_a_short_heartbeat_is_dropped() -> None:
+    election, _ = started_election()
+    message = presence("other", sequence=3)
+    election.observe(message, 1.0)
+    assert election.renew(message, 5, 1.1)
+    assert not election.observe(presence("other", sequence=4, owned_term=7), 1.2)
+    assert election.peer_by_incarnation["other"].presence is message
+
+
+def test_short_heartbeat_of_a_timed_out_or_unknown_peer_is_not_recorded() -> None:
+    election, _ = started_election()
+    message = presence("other")
+    assert not election.renew(message, 2, 1.0)
+    election.observe(message, 1.0)
+    assert not election.renew(message, 3, 3.0)
+    assert not election.renew(presence("other"), 4, 1.1)
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -53,6 +53,19 @@
     configuration_revision: Count
 
 
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class PresenceUnchanged:
+    """Heartbeat that repeats the last :class:`Presence` sent on the same connection.
+
+    Most heartbeats change nothing. The short form saves most of the bytes and processor time that
+    heartbeats cost in a large system.
+
+    :param sequence: sequence number of this heartbeat.
+    """
+
+    sequence: Count
+
+
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class SubmitWork:
     """Submit the open tasks of one step of a job to the owner of the servers.
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -16,6 +16,7 @@
     LayoutAnswer,
     LayoutQuery,
     Presence,
+    PresenceUnchanged,
     ReleaseWork,
     SubmitWork,
     TaskNews,
@@ -225,6 +226,7 @@
     | ConfigurationAnswer
     | LayoutQuery
     | LayoutAnswer
+    | PresenceUnchanged
 )
 
 
@@ -276,6 +278,7 @@
     22: _codec(ReleaseWork),
     23: _codec(LayoutQuery),
     24: _codec(LayoutAnswer),
+    25: _codec(PresenceUnchanged),
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
