Close the connections from a process that was lost

Ruled out: a layout that differs; both owners had the same. Change: when a peer is lost, the connections from it are closed; it connects again and repeats what still holds.

--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -164,6 +164,16 @@
         if self._task_group is not None:
             self._task_group.start_soon(self._keep_link, link)
 
+    def drop_incoming(self, incarnation: str) -> None:
+        """Close the connections from a peer that was lost.
+
+        What the peer has sent on them may arrive long after it was sent. It connects again, and
+        repeats what still holds.
+        """
+        for connection in [c for c in self._incoming if c.incarnation == incarnation]:
+            self._incoming.discard(connection)
+            connection.abort()
+
     def refusing_addresses(self) -> set[str]:
         """Return the addresses that refused the last connection attempt."""
         return {address for address, link in self._link_by_address.items() if link.refused}
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -309,6 +309,7 @@
         self._reachable_peers = reachable
         for incarnation in lost:
             log_event(logger, logging.WARNING, "peer-lost", peer=incarnation)
+            self._mesh.drop_incoming(incarnation)
             self._drop_holder(incarnation, self._election.unheard_s(incarnation, now))
         others = self._directory.others
         if others is not None and self._directory.is_restart:
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -102,3 +102,22 @@
         cluster.world.run(5.0)
     assert cluster.monitor.starts > 2
     check(cluster)
+
+
+# Guards against a work item that arrives more than a second after it was sent, at an owner that its
+# holder has replaced since: both owners would start its tasks.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_work_item_that_a_cut_has_delayed_is_not_started(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=8, shards=1, timeout_s=5.0)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        domain = next(domain for domain in cluster.domains if domain != owner.node.domain)
+        holder = next(entry for entry in cluster.entries if entry.node.domain == domain)
+        for server in cluster.server_by_id.values():
+            server.slowness = 3.0
+        cluster.cut_domain(domain, 1.6 + 0.03 * seed, "out")
+        for _ in range(3):
+            cluster.submit(LONG, domain, holder)
+        cluster.world.run(6.0)
+    assert cluster.monitor.starts
+    check(cluster)
