Keep the layout of the shards while their number is enough

Change: the layout is replaced only for more shards; a shard that has become too small refuses work items, and others get them.

--- a/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
@@ -19,10 +19,6 @@
 SERVERS_PER_SHARD = 24
 # Number of bytes of the hash that ranks the shards of a job.
 HASH_BYTES = 6
-# Factor by which the share of a shard in all servers may differ from its share in the layout.
-# Within it, a few servers that come or leave change no layout, which would move jobs.
-MAX_SHARE_DRIFT = 1.5
-
 
 UNKNOWN_LAYOUT = ShardLayout(0, ())
 
@@ -32,23 +28,6 @@
     return ShardLayout(shard_count, (1,) * shard_count)
 
 
-def have_drifted(sizes: Sequence[int], earlier_sizes: Sequence[int]) -> bool:
-    """Tell whether the share of a shard differs much between two lists of sizes.
-
-    :param sizes: sizes of the shards; nothing has drifted while all are 0.
-    :param earlier_sizes: earlier sizes of the same shards.
-    """
-    total, earlier_total = sum(sizes), sum(earlier_sizes)
-    if not total or not earlier_total:
-        return False
-    for size, earlier_size in zip(sizes, earlier_sizes, strict=True):
-        share, earlier_share = size / total, earlier_size / earlier_total
-        larger, smaller = max(share, earlier_share), min(share, earlier_share)
-        if larger > MAX_SHARE_DRIFT * smaller:
-            return True
-    return False
-
-
 def shard_count_for(servers: int) -> int:
     """Return the number of shards for a number of servers."""
     return max(1, math.ceil(servers / SERVERS_PER_SHARD))
--- a/packages/dispatch/src/redwingport_dispatch/watchers.py
+++ b/packages/dispatch/src/redwingport_dispatch/watchers.py
@@ -17,11 +17,7 @@
 )
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.hubs import find_neighbours
-from redwingport_dispatch.ownership.shards import (
-    have_drifted,
-    shard_count_for,
-    shard_sizes,
-)
+from redwingport_dispatch.ownership.shards import shard_count_for, shard_sizes
 from redwingport_dispatch.ownership.terms import new_term
 from redwingport_entry.logs import ROOT, log_event
 
@@ -39,9 +35,6 @@
 # Interval at which the number of shards is compared with the number of servers. Servers that start
 # together are all listed within this time.
 SHARD_CHECK_INTERVAL_S = 1.0
-# The shares of the shards must differ from the layout for this long before it is replaced. Entries
-# of servers that were removed during an outage of the store are back sooner.
-DRIFT_PERIOD_S = 5.0
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 
@@ -238,7 +231,10 @@
 
 
 class LayoutWatcher:
-    """Maintain the layout of the shards, whose number never shrinks.
+    """Maintain the layout of the shards, which is replaced when more shards are needed.
+
+    Sizes that have changed since are no reason to replace it: work items in progress would move to
+    other owners. A shard that has become too small refuses them, so that others get them.
 
     :param store: the platform's store.
     :param listing_by_id: returns the list of servers.
@@ -266,11 +262,10 @@
         self._tag = tag
         self._on_layout = on_layout
         self._metrics = metrics
-        self._drifted_at: float | None = None
         self._store_health = StoreHealth("shards")
 
     async def run(self) -> None:
-        """Read the layout, then replace it when it no longer suits the list of servers."""
+        """Read the layout, then replace it when there are too many servers for it."""
         while True:
             read = await self._store.read_shard_layout()
             self._metrics.observe_store_call("read-shard-count", read)
@@ -281,40 +276,21 @@
         self._on_layout(read.ok_value)
         while True:
             await anyio.sleep(SHARD_CHECK_INTERVAL_S)
-            sizes = self._find_new_sizes(current_time())
-            if sizes is None:
+            current, listing_by_id = self._current(), self._listing_by_id()
+            count = shard_count_for(len(listing_by_id))
+            if not self._may_replace() or count <= current.shard_count:
                 continue
-            revision = new_term(
-                time.time_ns() // 1_000_000, self._tag, highest_seen=self._current().revision
-            )
-            layout = ShardLayout(revision, sizes)
+            revision = new_term(time.time_ns() // 1_000_000, self._tag, current.revision)
+            sizes = shard_sizes(listing_by_id.values(), count)
+            layout = ShardLayout(revision, tuple(sizes))
             written = await self._store.write_shard_layout(layout)
             self._metrics.observe_store_call("write-shard-count", written)
             if isinstance(written, Err):
                 await self._store_health.handle_failure(written.err_value)
             else:
                 self._store_health.handle_success()
-                self._drifted_at = None
                 self._on_layout(layout)
 
-    def _find_new_sizes(self, now: float) -> tuple[int, ...] | None:
-        """Return the sizes of the shards for a new layout, or None if none is due here."""
-        if not self._may_replace():
-            self._drifted_at = None
-            return None
-        current = self._current()
-        listing_by_id = self._listing_by_id()
-        count = max(shard_count_for(len(listing_by_id)), current.shard_count)
-        sizes = tuple(shard_sizes(listing_by_id.values(), count))
-        if count > current.shard_count:
-            return sizes
-        if not have_drifted(sizes, current.sizes):
-            self._drifted_at = None
-            return None
-        if self._drifted_at is None:
-            self._drifted_at = now
-        return sizes if now - self._drifted_at >= DRIFT_PERIOD_S else None
-
 
 class VmDirectory:
     """Discover the other processes through their rows in the store.
