Look at servers that are not open only where a pass needs them

Cause: each pass estimated the speed of all usable servers, though most passes start a task on the one server whose run has just ended. Change: they are listed on first use; a pass that takes over 0.5 ms is followed by a pause of its length, so that reports and orders get half of the processor.

--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -29,6 +29,8 @@
 # Interval at which due stops, runs that must have ended and work items that cannot finish in time
 # are checked.
 TICK_S = 0.05
+# A pass over the queue that took less time is followed by no pause.
+MIN_PAUSE_S = 0.0005
 # A server that is no longer listed is kept this long, unless it is suspect and has no runs: its
 # entry expires while the store is down, and reappears within two seconds of its recovery.
 UNLISTED_GRACE_S = 2.5
@@ -317,7 +319,13 @@
             self._has_work.clear()
             if self._dispatch_due:
                 self._dispatch_due = False
-                self.scheduler.dispatch(current_time())
+                started_at = current_time()
+                self.scheduler.dispatch(started_at)
+                self._flush_task_events()
+                # Reports and orders get at least as much processor time as the passes.
+                pause_s = current_time() - started_at
+                if pause_s >= MIN_PAUSE_S:
+                    await anyio.sleep(pause_s)
             self._flush_task_events()
 
     def _flush_task_events(self) -> None:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/openings.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/openings.py
@@ -1,7 +1,9 @@
 """Slots that runs will free soon, for tasks that would end sooner by waiting for one."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+from functools import cached_property
 
+from redwingport_dispatch.scheduling.server_finder import UsableServers
 from redwingport_dispatch.scheduling.servers import ServerState
 from redwingport_dispatch.scheduling.work import Run, Work
 
@@ -23,15 +25,14 @@
     Each waiting task reserves one slot, so that a long queue does not wait for the same few, and
     the number of waiting tasks is limited.
 
-    :param slowness_by_server: usable servers and their likely slowness.
+    :param usable: the usable servers.
     :param now: monotonic time, in seconds.
     """
 
-    def __init__(self, slowness_by_server: Mapping[ServerState, float], now: float) -> None:
-        self._slowness_by_server = slowness_by_server
+    def __init__(self, usable: UsableServers, now: float) -> None:
+        self._usable = usable
         self._now = now
-        self._slots: list[tuple[float, ServerState, Run]] | None = None
-        self._waits_left = int(MAX_WAITING_PER_SERVER * len(slowness_by_server))
+        self._waiting = 0
 
     def reserve_better(
         self,
@@ -47,34 +48,35 @@
             seconds.
         :returns: whether a slot was reserved, so that the task should wait.
         """
-        if self._waits_left <= 0:
+        slowness_by_server = self._usable.slowness_by_server
+        if self._waiting >= int(MAX_WAITING_PER_SERVER * len(slowness_by_server)):
             return False
         limit_s = MAX_DURATION_SHARE * expected_s - TURNAROUND_S
-        slots = self._sorted_slots()
+        slots = self._slots
         for position, (free_s, server, run) in enumerate(slots):
             if free_s >= limit_s:
                 break
-            end_s = free_s + run_s_at(server, self._slowness_by_server[server])
+            end_s = free_s + run_s_at(server, slowness_by_server[server])
             if end_s < limit_s and _fits_after(server, run, work):
                 del slots[position]
-                self._waits_left -= 1
+                self._waiting += 1
                 return True
         return False
 
-    def _sorted_slots(self) -> list[tuple[float, ServerState, Run]]:
-        """Return the slots, earliest first, computed on first use.
+    @cached_property
+    def _slots(self) -> list[tuple[float, ServerState, Run]]:
+        """Return the slots, earliest first.
 
         :returns: for each slot, the time until it is free in seconds, its server, and the run
             that occupies it.
         """
-        if self._slots is None:
-            self._slots = [
-                (run.remaining_s(self._now), server, run)
-                for server in self._slowness_by_server
-                for run in server.run_by_task.values()
-            ]
-            self._slots.sort(key=lambda slot: slot[0])
-        return self._slots
+        slots = [
+            (run.remaining_s(self._now), server, run)
+            for server in self._usable.slowness_by_server
+            for run in server.run_by_task.values()
+        ]
+        slots.sort(key=lambda slot: slot[0])
+        return slots
 
 
 def _fits_after(server: ServerState, run: Run, work: Work) -> bool:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler of an owner: decides where and when tasks start, and tracks their runs."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import (
@@ -19,7 +19,7 @@
 from redwingport_dispatch.scheduling.placement import Placement, choose_server
 from redwingport_dispatch.scheduling.queue import WorkQueue
 from redwingport_dispatch.scheduling.review import QueueReview
-from redwingport_dispatch.scheduling.server_finder import ServerFinder
+from redwingport_dispatch.scheduling.server_finder import ServerFinder, UsableServers
 from redwingport_dispatch.scheduling.servers import ServerState
 from redwingport_dispatch.scheduling.speeds import Speeds
 from redwingport_dispatch.scheduling.stragglers import ends_sooner_elsewhere, is_late, is_stalled
@@ -83,7 +83,7 @@
         self._bounds = bounds
         self._on_dispatch_due = on_dispatch_due
         self._ejector = Ejector(failures_in_a_row=FAILURES_IN_A_ROW)
-        self._server_finder = ServerFinder(self.speeds, self._ejector, bounds.far_factor)
+        self._server_finder = ServerFinder(self._ejector, bounds.far_factor)
         self._blocked: set[Work] = set()
         self._history = History()
         self._placement_paused_until = 0.0
@@ -314,11 +314,14 @@
         # While there is a queue, most work items find no capacity and most servers have none, so
         # both are sorted out by a single number.
         min_cpu_millis = min(work.shape.cpu_millis for work in self.queue)
-        servers = self.usable_servers(now)
-        open_servers = self._find_open_servers(servers, min_cpu_millis)
+        open_servers: Sequence[ServerState] = [
+            server
+            for server in self._find_open_servers(self.server_by_id.values(), min_cpu_millis)
+            if self._is_usable(server, now)
+        ]
         if not open_servers:
             return
-        usable = self._server_finder.estimate_slowness(servers)
+        usable = UsableServers(lambda: self.usable_servers(now), self.speeds)
         max_free_cpu_millis = max(server.free_cpu_millis for server in open_servers)
         upcoming_slots = UpcomingSlots(usable, now)
         for work in self.queue:
@@ -336,7 +339,7 @@
 
     @staticmethod
     def _find_open_servers(
-        servers: Sequence[ServerState], cpu_millis: int
+        servers: Iterable[ServerState], cpu_millis: int
     ) -> Sequence[ServerState]:
         return [server for server in servers if server.free_cpu_millis >= max(cpu_millis, 1)]
 
@@ -344,7 +347,7 @@
         self,
         work: Work,
         open_servers: Sequence[ServerState],
-        usable: dict[ServerState, float],
+        usable: UsableServers,
         upcoming_slots: UpcomingSlots,
         now: float,
     ) -> bool:
@@ -589,12 +592,15 @@
             elif run.work is not None and is_late(run, run.work, now):
                 others = [other for other in self.usable_servers(now) if other is not server]
                 expected_s_by_server = self._server_finder.find(
-                    run.work, others, self._server_finder.estimate_slowness(others), now
+                    run.work, others, self._usable_of(others), now
                 )
                 if ends_sooner_elsewhere(run, run.work, expected_s_by_server.values(), now):
                     self._log_moved("run-too-slow", run)
                     self._relocate_run(run, now)
 
+    def _usable_of(self, servers: Sequence[ServerState]) -> UsableServers:
+        return UsableServers(lambda: servers, self.speeds)
+
     def _log_moved(self, event: str, run: Run) -> None:
         self._effects.log_decision(
             event,
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
@@ -1,6 +1,7 @@
 """Search for the servers on which a task may start, with its expected run time on each."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable
+from functools import cached_property
 
 from redwingport_dispatch.scheduling.placement import expected_run_s, likely_slowness
 from redwingport_dispatch.scheduling.review import MIN_RUN_TIME_SHARE
@@ -14,23 +15,40 @@
 DEADLINE_MARGIN = 1.5
 
 
+class UsableServers:
+    """Hold the usable servers and their likely slowness, for one pass over the queue.
+
+    They are computed on first use: while all slots are taken, a pass needs few of them.
+
+    :param list_usable: returns the usable servers.
+    :param speeds: learned slowness of the servers.
+    """
+
+    def __init__(self, list_usable: Callable[[], Iterable[ServerState]], speeds: Speeds) -> None:
+        self._list_usable = list_usable
+        self._speeds = speeds
+
+    @cached_property
+    def slowness_by_server(self) -> dict[ServerState, float]:
+        """Return the likely slowness of each usable server."""
+        return {server: self.slowness(server) for server in self._list_usable()}
+
+    def slowness(self, server: ServerState) -> float:
+        """Return the likely slowness of one server."""
+        return likely_slowness(server, self._speeds)
+
+
 class ServerFinder:
     """Find servers for tasks.
 
-    :param speeds: learned slowness of the servers.
     :param ejector: ejects servers that fail.
     :param far_factor: factor on the run time of a task whose data is in another rack.
     """
 
-    def __init__(self, speeds: Speeds, ejector: Ejector, far_factor: float) -> None:
-        self._speeds = speeds
+    def __init__(self, ejector: Ejector, far_factor: float) -> None:
         self._ejector = ejector
         self._far_factor = far_factor
 
-    def estimate_slowness(self, servers: Iterable[ServerState]) -> dict[ServerState, float]:
-        """Return the likely slowness of each server, computed once for many work items."""
-        return {server: likely_slowness(server, self._speeds) for server in servers}
-
     def expected_run_s(self, server: ServerState, work: Work, slowness: float) -> float:
         """Return the expected run time of a task on a server of a given slowness, in seconds."""
         return expected_run_s(server, work.shape, slowness, self._far_factor)
@@ -39,7 +57,7 @@
         self,
         work: Work,
         open_servers: Iterable[ServerState],
-        slowness_by_server: Mapping[ServerState, float],
+        usable: UsableServers,
         now: float,
     ) -> dict[ServerState, float]:
         """Return the servers with capacity for a task, and its expected run time on each.
@@ -49,12 +67,12 @@
 
         :param work: the work item of the task.
         :param open_servers: usable servers that may have capacity.
-        :param slowness_by_server: all usable servers and their likely slowness.
+        :param usable: all usable servers.
         :param now: monotonic time, in seconds.
         :returns: expected run times in seconds, by server.
         """
         run_s_by_server = {
-            server: self.expected_run_s(server, work, slowness_by_server[server])
+            server: self.expected_run_s(server, work, usable.slowness(server))
             for server in open_servers
             if server.has_room(work.shape)
             and _could_run(server, work)
@@ -67,7 +85,7 @@
             return run_s_by_server
         run_s_by_fitting_server = {
             server: self.expected_run_s(server, work, slowness)
-            for server, slowness in slowness_by_server.items()
+            for server, slowness in usable.slowness_by_server.items()
             if _could_run(server, work)
         }
         certain_slots = sum(
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -104,7 +104,7 @@
     check(cluster)
 
 
-# Guards against a work item that arrives more than a second after it was sent, at an owner that its
+# Guards against a work item that arrives over a second after it was sent, at an owner that its
 # holder has replaced since: both owners would start its tasks.
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_work_item_that_a_cut_has_delayed_is_not_started(seed: int) -> None:
