--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -49,6 +49,8 @@
     :param listing_by_id: the currently listed servers; work items submitted before the sessions
         are open wait for them.
     :param term: term of the owner.
+    :param settled_at: monotonic time until which holders may still submit the work items of an
+        earlier owner, in seconds.
     :param may_contest: tells whether this owner may raise its token above that of another owner.
     :param note_token: called with each raised token.
     :param send_notification: sends a notification to a holder.
@@ -62,6 +64,7 @@
         server_clients: ServerClientFactory,
         listing_by_id: Mapping[str, ServerListing],
         term: int,
+        settled_at: float,
         may_contest: Callable[[], bool],
         note_token: Callable[[int], None],
         send_notification: Callable[[str, Notification], None],
@@ -70,7 +73,7 @@
         self.term = term
         # During a burst, many reports and work items arrive in one iteration of the event loop. A
         # pass over the queue for each of them would take most of the processor time.
-        self.scheduler = Scheduler(self, settings.bounds, self._request_dispatch)
+        self.scheduler = Scheduler(self, settings.bounds, settled_at, self._request_dispatch)
         for listing in listing_by_id.values():
             self.scheduler.set_server(listing)
         self._shard = shard
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 import secrets
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -26,9 +27,11 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.ownership.election import Election, ShardOwner
+from redwingport_dispatch.ownership.leases import max_local_duration_s
 from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, shard_of
 from redwingport_dispatch.peers import Mesh
 from redwingport_dispatch.routes import RouteTable
+from redwingport_dispatch.scheduling.scheduler import ORPHAN_GRACE_S
 from redwingport_dispatch.settings import Settings
 from redwingport_dispatch.watchers import (
     ConfigurationWatcher,
@@ -69,6 +72,10 @@
 # A process that reaches no other one for this long connects to all listed processes, as the hubs
 # may have ended.
 ISOLATION_TIMEOUT_S = 1.5
+# Time in which holders learn of a new owner and submit their work items to it.
+TAKEOVER_SETTLING_S = 0.1
+# Time in which the shards of a new layout get their owners.
+LAYOUT_SETTLING_S = 2.0
 # Shard whose owner replaces the layout of the shards.
 FIRST_SHARD = 0
 # Servers that are missing from a list are considered removed only if the list was read at most
@@ -124,6 +131,7 @@
         self._weight = weight
         self._shard_owners: Sequence[ShardOwner] = ()
         self._shard_layout = UNKNOWN_LAYOUT
+        self._layout_changed_at = -math.inf
         self._reachable_peers: set[str] = set()
         self._isolated_since = current_time()
         self._timeout_changed = anyio.Event()
@@ -289,6 +297,8 @@
         self._shard_layout = layout
         count = layout.shard_count
         if count != was.shard_count:
+            if was.shard_count:
+                self._layout_changed_at = current_time()
             log_event(logger, logging.INFO, "shards-raised", count=count, was=was.shard_count)
             self._election.set_shard_count(count)
             for owner in self._owner_by_shard.values():
@@ -360,6 +370,7 @@
             self._platform.server_clients,
             listing_by_id,
             term,
+            self._settled_at(),
             lambda: self._election.reaches_majority(current_time()),
             self._election.note_token,
             self._send_notification,
@@ -372,6 +383,16 @@
         self._supervisor.start(f"owner-{term}", lambda: self._run_owner(shard, owner))
         self._mesh.announce()
 
+    def _settled_at(self) -> float:
+        """Return the time by which the work items of earlier owners reach one elected now."""
+        now = current_time()
+        if now - self._layout_changed_at > LAYOUT_SETTLING_S:
+            return now + TAKEOVER_SETTLING_S
+        # The servers of an earlier owner may belong to several shards now, so that runs which no
+        # holder names are stopped by other owners, after they had time to be claimed there.
+        stop_s = max_local_duration_s(self.settings.bounds.stop_s)
+        return now + TAKEOVER_SETTLING_S + ORPHAN_GRACE_S + stop_s
+
     def _listing_of_shard(
         self, shard: int, listing_by_id: Mapping[str, ServerListing]
     ) -> dict[str, ServerListing]:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -63,6 +63,9 @@
 
     :param effects: carries out the decisions.
     :param bounds: time bounds and factors of the platform.
+    :param settled_at: monotonic time until which the holders of an earlier owner may still submit
+        their work items, in seconds. A new work item waits as long: the job may have been
+        submitted through another process before, and may be running.
     :param on_dispatch_due: called when queued tasks may be able to start, for a call of
         :meth:`dispatch` soon; None for a pass over the queue after each change.
     """
@@ -71,6 +74,7 @@
         self,
         effects: Effects,
         bounds: BoundSettings,
+        settled_at: float = 0.0,
         on_dispatch_due: Callable[[], None] | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
@@ -81,6 +85,7 @@
         self._effects = effects
         self._review = QueueReview(self)
         self._bounds = bounds
+        self._settled_at = settled_at
         self._on_dispatch_due = on_dispatch_due
         self._ejector = Ejector(failures_in_a_row=FAILURES_IN_A_ROW)
         self._server_finder = ServerFinder(self._ejector, bounds.far_factor)
@@ -174,15 +179,24 @@
         self._displace_older(work, now)
         self.work_by_key[work.key] = work
         silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
-        work.safe_at = now + self._longest_lease_s() - silent_s if resumed else now
+        settled_at = max(self._settled_at, now)
+        work.safe_at = now + self._longest_lease_s() - silent_s if resumed else settled_at
         # If the previous owner was reachable until recently, its reports may be in flight.
         recently_reachable = resumed and unheard_s < HANDOVER_REPORT_S
-        work.handover_until = now + HANDOVER_REPORT_S if recently_reachable else now
+        if recently_reachable:
+            work.handover_until = now + HANDOVER_REPORT_S
+        else:
+            work.handover_until = now if resumed else settled_at
         work.resumed = resumed
         work.ever_started = resumed or self._history.has_started(work.job_id)
+        may_run_already = resumed or now < self._settled_at
         for task in work.task_by_index.values():
-            self._admit_task(work, task, placed_by_index.get(task.index, ""), resumed)
-        if any(task.state is not TaskState.QUEUED for task in work.tasks()):
+            self._admit_task(work, task, placed_by_index.get(task.index, ""), may_run_already)
+        if any(
+            task.state is not TaskState.QUEUED
+            and (resumed or task.state is not TaskState.BLOCKED or task.earlier_run is not None)
+            for task in work.tasks()
+        ):
             # A run of an earlier submission exists, however long ago it started.
             work.ever_started = True
         if any(t.state is TaskState.BLOCKED for t in work.task_by_index.values()):
@@ -192,7 +206,7 @@
             return
         if work.queued_tasks():
             self.queue.add(work)
-        if not resumed and self._review.refuse_on_arrival(work, self.queue, now):
+        if not may_run_already and self._review.refuse_on_arrival(work, self.queue, now):
             return
         self._unblock_tasks(now)
         self._request_dispatch(now)
@@ -234,7 +248,7 @@
             self._request_dispatch(now)
         return len(works)
 
-    def _admit_task(self, work: Work, task: Task, placed_on: str, resumed: bool) -> None:
+    def _admit_task(self, work: Work, task: Task, placed_on: str, may_run_already: bool) -> None:
         name = work.task_name(task.index)
         unclaimed = self._history.claim_end(name)
         if unclaimed is not None:
@@ -253,7 +267,7 @@
                 task.earlier_run = run
                 task.state = TaskState.BLOCKED
                 task.blocked_on = run.server_id
-        elif resumed:
+        elif may_run_already:
             task.state = TaskState.BLOCKED
             task.blocked_on = placed_on
 
@@ -848,7 +862,8 @@
             return None
         known = task.earlier_run.over if task.earlier_run is not None else None
         if now >= work.safe_at:
-            return known or RunOver.EARLIER_LEASES_ENDED
+            waited_for = RunOver.EARLIER_LEASES_ENDED if work.resumed else RunOver.HOLDERS_HEARD
+            return known or waited_for
         if now < work.handover_until:
             return None
         if task.blocked_on:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -54,6 +54,9 @@
     """The last lease that this owner gave has ended."""
     EARLIER_LEASES_ENDED = "earlier-leases-ended"
     """All leases that an earlier owner may have given have ended."""
+    HOLDERS_HEARD = "holders-heard"
+    """Since this owner took over, the holders have had time to submit their work items to it, and
+    none of these names a run of the task."""
     START_REJECTED = "start-rejected"
     """Its server has rejected the start order."""
     NOT_LISTED = "not-listed"
@@ -111,7 +114,7 @@
     :param other_servers: whether a run of an earlier owner may be on a server that does not belong
         to this shard.
     :param refused_for_load: whether another shard has refused it for its load.
-    :param safe_at: monotonic time from which no run of an earlier owner can be left, in seconds.
+    :param safe_at: monotonic time from which no run of an earlier owner is expected, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
     :param late: whether the work item arrived too late to meet its target even without queueing.
--- a/packages/dispatch/tests/test_cluster_faults.py
+++ b/packages/dispatch/tests/test_cluster_faults.py
@@ -29,7 +29,13 @@
 PROBE_S = 2.0
 
 
-@pytest.mark.parametrize("seed", range(FIRST_SEED, END_SEED))
+# Seeds whose mixes made tasks run twice: jobs ranked by different lists of servers (321), a work
+# item that arrived late (368), jobs that clients sent again while an owner took over (409) and
+# while the number of shards rose (449).
+FAILED_SEEDS = (321, 368, 409, 449)
+
+
+@pytest.mark.parametrize("seed", dict.fromkeys((*range(FIRST_SEED, END_SEED), *FAILED_SEEDS)))
 def test_mix_of_faults_has_no_second_runs_and_no_started_refusals(seed: int) -> None:
     choices = random.Random(f"mix {seed}")
     entries, servers, shards = choices.choice(SYSTEMS)
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -44,6 +44,7 @@
         NoServerClients(),
         {"s0": listing},
         1,
+        0.0,
         lambda: True,
         lambda token: None,
         lambda holder, message: notifications.append(message),
--- a/packages/testbed/src/redwingport_testbed/shards/simulation.py
+++ b/packages/testbed/src/redwingport_testbed/shards/simulation.py
@@ -96,6 +96,7 @@
             server_clients=self,
             listing_by_id=self.listing_by_id,
             term=TERM,
+            settled_at=0.0,
             may_contest=lambda: True,
             note_token=lambda token: None,
             send_notification=self._notify,
