Limit the size of a shard by what its owner can carry

Change: the number of shards also follows from the processor capacity of the processes that may own one.

--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -241,6 +241,12 @@
             if self.is_reachable(incarnation, now)
         ]
 
+    def candidate_weights(self, now: float) -> list[int]:
+        """Return the weights of the reachable processes that may take over shards."""
+        weights = [peer.weight for peer in self.reachable_peers(now) if not peer.draining]
+        weights.append(self._weight)
+        return [w for w in weights if w >= MIN_OWNER_WEIGHT_SHARE * max(weights)]
+
     def reaches_majority(self, now: float) -> bool:
         """Tell whether this process reaches a majority of the known processes.
 
--- a/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
@@ -17,6 +17,9 @@
 # 280 tasks a second, which takes three quarters of a core. Smaller shards have too few fast
 # servers for jobs with many long tasks, so that such jobs fail even under normal load.
 SERVERS_PER_SHARD = 24
+# Number of servers per core of the owner's processor capacity, by the same figures. On small
+# machines it limits the size of a shard.
+SERVERS_PER_CORE = 32
 # Number of bytes of the hash that ranks the shards of a job.
 HASH_BYTES = 6
 
@@ -28,9 +31,18 @@
     return ShardLayout(shard_count, (1,) * shard_count)
 
 
-def shard_count_for(servers: int) -> int:
-    """Return the number of shards for a number of servers."""
-    return max(1, math.ceil(servers / SERVERS_PER_SHARD))
+def shard_count_for(servers: int, weights: Sequence[int] = ()) -> int:
+    """Return the number of shards for a number of servers.
+
+    :param servers: number of servers.
+    :param weights: processor capacity of each process that may own a shard, in thousandths of a
+        core. There are at most as many shards as processes, unless their capacity is unknown.
+    """
+    count = max(1, math.ceil(servers / SERVERS_PER_SHARD))
+    if not weights:
+        return count
+    bearable = max(1, int(min(weights) / 1000 * SERVERS_PER_CORE))
+    return max(count, min(math.ceil(servers / bearable), len(weights)))
 
 
 def shard_of(server_id: str, shard_count: int) -> int:
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -166,6 +166,7 @@
             lambda: self._servers.listing_by_id,
             lambda: self._shard_layout,
             lambda: FIRST_SHARD in self._owner_by_shard,
+            lambda: self._election.candidate_weights(current_time()),
             tag,
             self._apply_layout,
             self.metrics,
--- a/packages/dispatch/src/redwingport_dispatch/watchers.py
+++ b/packages/dispatch/src/redwingport_dispatch/watchers.py
@@ -240,6 +240,8 @@
     :param listing_by_id: returns the list of servers.
     :param current: returns the layout in use.
     :param may_replace: tells whether this process is responsible for replacing the layout.
+    :param owner_weights: returns the processor capacity of each process that may own a shard, in
+        thousandths of a core.
     :param tag: number that distinguishes the revisions of this process.
     :param on_layout: called with each layout that was read or written.
     :param metrics: metrics of the process.
@@ -251,6 +253,7 @@
         listing_by_id: Callable[[], Mapping[str, ServerListing]],
         current: Callable[[], ShardLayout],
         may_replace: Callable[[], bool],
+        owner_weights: Callable[[], Sequence[int]],
         tag: int,
         on_layout: Callable[[ShardLayout], None],
         metrics: Metrics,
@@ -259,6 +262,7 @@
         self._listing_by_id = listing_by_id
         self._current = current
         self._may_replace = may_replace
+        self._owner_weights = owner_weights
         self._tag = tag
         self._on_layout = on_layout
         self._metrics = metrics
@@ -277,7 +281,7 @@
         while True:
             await anyio.sleep(SHARD_CHECK_INTERVAL_S)
             current, listing_by_id = self._current(), self._listing_by_id()
-            count = shard_count_for(len(listing_by_id))
+            count = shard_count_for(len(listing_by_id), self._owner_weights())
             if not self._may_replace() or count <= current.shard_count:
                 continue
             revision = new_term(time.time_ns() // 1_000_000, self._tag, current.revision)
--- a/packages/dispatch/tests/test_watchers.py
+++ b/packages/dispatch/tests/test_watchers.py
@@ -61,6 +61,7 @@
         lambda: listings,
         lambda: seen[-1] if seen else UNKNOWN_LAYOUT,
         lambda: may_replace,
+        lambda: (),
         5,
         seen.append,
         Metrics(),
