Send the heartbeats to all peers at the same times

Cause: each link had a timer of its own, so an owner with 39 peers woke up for each of 260 heartbeats a second. Change: heartbeats are due at multiples of 50 ms, never later than before. Result: the new test fails before (a wake-up for each heartbeat) and passes after.

--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -29,6 +29,9 @@
 REACHABILITY_TIMEOUT_S = 1.0
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
+# Heartbeats are due at multiples of this time, so that a process with many peers wakes up once for
+# many of them.
+HEARTBEAT_STEP_S = 0.05
 # Maximum number of queued messages for a peer; enough for more than a minute at 70 jobs a second.
 MAX_QUEUED_MESSAGES = 10_000
 # Maximum number of messages in one write: some tens of KB, which fit the timeout of a write.
@@ -250,7 +253,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         link.heartbeat_due = False
-        heartbeat_at = loop.time() + self._heartbeat_s(link.incarnation)
+        heartbeat_at = self._next_heartbeat_at(link, loop.time())
         timer = loop.call_at(heartbeat_at, link.note_heartbeat_due)
         try:
             while True:
@@ -264,7 +267,7 @@
                     await connection.send(messages)
                 # The interval is shorter from the moment when the peer or this process owns a
                 # shard.
-                latest_at = loop.time() + self._heartbeat_s(link.incarnation)
+                latest_at = self._next_heartbeat_at(link, loop.time())
                 is_due = link.heartbeat_due
                 if is_due or latest_at < heartbeat_at:
                     timer.cancel()
@@ -277,6 +280,11 @@
         finally:
             timer.cancel()
 
+    def _next_heartbeat_at(self, link: _OutgoingLink, now: float) -> float:
+        """Return the time of the next heartbeat, at which those to other peers are also due."""
+        latest_at = now + self._heartbeat_s(link.incarnation)
+        return latest_at - latest_at % HEARTBEAT_STEP_S
+
     async def _send_presence(self, link: _OutgoingLink, connection: OutgoingConnection) -> None:
         state = self._state(link.incarnation)
         if state == link.sent_state:
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -240,3 +240,32 @@
         assert isinstance(last, Presence)
         assert last.sequence == sequence
         task_group.cancel_scope.cancel()
+
+
+# Guards against a process that wakes up for each of its peers, hundreds of times a second.
+async def test_heartbeats_to_many_peers_leave_together() -> None:
+    sender = Process("sender")
+    receivers = [Process(f"receiver-{number}") for number in range(8)]
+    asked_at: list[float] = []
+
+    def note_heartbeat(peer: str) -> bool:
+        asked_at.append(anyio.current_time())
+        return False
+
+    sender.mesh._state = note_heartbeat
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        for receiver in receivers:
+            task_group.start_soon(receiver.mesh.run)
+            sender.mesh.add_address(receiver.address)
+            # Links that are opened at different times.
+            await anyio.sleep(0.013)
+        for receiver in receivers:
+            await wait_for_heartbeats(receiver, 1)
+        asked_at.clear()
+        for receiver in receivers:
+            await wait_for_heartbeats(receiver, len(receiver.renewed) + 3)
+        task_group.cancel_scope.cancel()
+    wakeups = 1 + sum(later - earlier > 0.01 for earlier, later in itertools.pairwise(asked_at))
+    assert len(asked_at) >= 3 * len(receivers)
+    assert wakeups <= len(asked_at) / 2
