--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -66,21 +66,26 @@
 class SchedulerHarness:
     """Drive a scheduler by hand: manual clock, servers that report their runs, and jobs."""
 
-    def __init__(self, servers: int = 2, cpu_millis: int = 16000, kind: str = "a") -> None:
+    def __init__(
+        self, servers: int = 2, cpu_millis: int = 16000, kind: str = "a", settled_s: float = 0.0
+    ) -> None:
         self.effects = RecordedEffects()
-        self.scheduler = Scheduler(self.effects, BOUNDS)
         self.now = 100.0
+        self.scheduler = Scheduler(self.effects, BOUNDS, self.now + settled_s)
         self._next_work = 0
         self._ends_by_server: dict[str, int] = {}
         for number in range(servers):
             self.add_server(f"s{number}", cpu_millis, kind)
 
-    def add_server(self, server_id: str, cpu_millis: int = 16000, kind: str = "a") -> None:
+    def add_server(
+        self, server_id: str, cpu_millis: int = 16000, kind: str = "a", acquired: bool = True
+    ) -> None:
         listing = ServerListing(
             server_id, SERVICE, "127.0.0.1:1", "d", cpu_millis, 65536, 0, (kind, "r1"), False
         )
         self.scheduler.set_server(listing)
-        self.report(server_id)
+        if acquired:
+            self.report(server_id)
 
     def submit(
         self,
--- a/packages/dispatch/tests/test_election.py
+++ b/packages/dispatch/tests/test_election.py
@@ -364,3 +364,12 @@
     election.observe(message, 1.0)
     assert not election.renew(message, 3, 3.0)
     assert not election.renew(presence("other"), 4, 1.1)
+
+
+def test_processes_that_take_over_no_shards_do_not_count_for_their_size() -> None:
+    election, _ = started_election(weight=1000)
+    election.observe(presence("light", weight=400), 1.0)
+    election.observe(presence("heavy", weight=1200), 1.0)
+    election.observe(presence("leaving", weight=700, draining=True), 1.0)
+    assert sorted(election.candidate_weights(1.1)) == [1000, 1200]
+    assert election.candidate_weights(9.0) == [1000]
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -242,6 +242,39 @@
     assert [run.after for run in harness.effects.started] == [RunOver.EARLIER_LEASES_ENDED]
 
 
+# Guards against a second run of a job that its client has sent again to another process: the new
+# owner gets that submission first, and does not know yet that the job is running.
+def test_new_work_item_waits_until_holders_have_heard_of_a_new_owner() -> None:
+    harness = SchedulerHarness(servers=2, settled_s=0.1)
+    harness.submit("job")
+    harness.advance(0.09)
+    assert not harness.effects.started
+    harness.advance(0.02)
+    assert [run.after for run in harness.effects.started] == [RunOver.HOLDERS_HEARD]
+
+
+def test_run_that_an_earlier_holder_names_is_kept_from_starting_again() -> None:
+    harness = SchedulerHarness(servers=2, settled_s=0.1)
+    harness.add_server("late", acquired=False)
+    harness.submit("job", holder="second")
+    harness.submit("job", holder="first", resumed=True, placed={0: "late"})
+    harness.advance(0.2)
+    assert not harness.effects.started
+    listed = RunListing("job.0.0.0", 1, 50)
+    report = ServerReport(harness.clock_ms, runs=(listed,))
+    harness.scheduler.handle_report("late", report, harness.now, [], harness.now)
+    harness.advance(0.1)
+    assert not harness.effects.started
+    assert harness.effects.events.count("run-adopted") == 1
+
+
+def test_new_work_item_of_a_settled_owner_starts_at_once() -> None:
+    harness = SchedulerHarness(servers=2, settled_s=0.1)
+    harness.advance(0.1)
+    harness.submit("job")
+    assert [run.after for run in harness.effects.started] == [RunOver.NONE_KNOWN]
+
+
 def test_job_is_abandoned_early_when_a_task_cannot_start_safely_in_time() -> None:
     harness = SchedulerHarness(servers=2)
     harness.scheduler.server_by_id["s1"].acquired = False
--- a/packages/dispatch/tests/test_shards.py
+++ b/packages/dispatch/tests/test_shards.py
@@ -29,6 +29,18 @@
     assert 0 <= shard_of(server_id, count) < count
 
 
+# Guards against owners that cannot carry their shard.
+def test_owners_on_small_machines_get_small_shards() -> None:
+    assert shard_count_for(48, [120] * 18) == 7
+    assert shard_count_for(24, [1070] * 6) == 1
+    assert shard_count_for(176, [1290, 2151]) == 8
+
+
+def test_there_are_no_more_small_shards_than_processes_to_own_them() -> None:
+    assert shard_count_for(48, [120] * 5) == 5
+    assert shard_count_for(48, [120]) == 2
+
+
 def test_shard_of_server_does_not_depend_on_process() -> None:
     """Expected values are CRC-32 of the id modulo 4; Python's hash differs between processes."""
     assert shard_of("8e401726a8379340", 4) == 0
