Test a holder that is silent for a moment and a heartbeat without a presence message

Cause: two of the failures that other operators met: running work given up after a short silence, and a message that takes a process down. Change: tests only; neither can happen in the cases tried.

--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -121,3 +121,20 @@
         cluster.world.run(6.0)
     assert cluster.monitor.starts
     check(cluster)
+
+
+# Guards against jobs that are given up because their owner has missed a few heartbeats of their
+# holder, which has not missed any of the owner.
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_jobs_of_a_holder_that_was_silent_for_a_moment_are_completed(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=8, shards=1, timeout_s=5.0)
+    with cluster.running():
+        owner, holder, _ = owner_and_holder(cluster)
+        for _ in range(3):
+            cluster.submit(LONG, holder.node.domain, holder)
+        cluster.world.run(0.1)
+        silent_s = 0.4 + 0.02 * seed
+        cluster.cut_pairs([holder.node.name], [owner.node.name], silent_s, both=False)
+        cluster.world.run(6.0)
+    assert set(cluster.statuses()) == {200}, cluster.statuses()
+    check(cluster)
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -8,8 +8,8 @@
 import pytest
 
 from redwingport_dispatch.peers import Mesh
-from redwingport_messages.dispatch import Presence, TaskNews
-from redwingport_messages.frames import Frame
+from redwingport_messages.dispatch import Presence, PresenceUnchanged, TaskNews
+from redwingport_messages.frames import Frame, encode_frame
 
 pytestmark = pytest.mark.anyio
 
@@ -269,3 +269,24 @@
     wakeups = 1 + sum(later - earlier > 0.01 for earlier, later in itertools.pairwise(asked_at))
     assert len(asked_at) >= 3 * len(receivers)
     assert wakeups <= len(asked_at) / 2
+
+
+# Guards against a malformed message that takes down the links to all other processes.
+async def test_short_heartbeat_without_a_presence_message_ends_its_connection_only() -> None:
+    sender, receiver = Process("sender"), Process("receiver")
+    host, _, port = receiver.address.rpartition(":")
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        sender.mesh.add_address(receiver.address)
+        await wait_for_heartbeats(receiver, 1)
+        for data in (encode_frame(PresenceUnchanged(1)), b"\x00\x00\x00\x02\xc1\xc1"):
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(data)
+                with (
+                    anyio.fail_after(5),
+                    pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)),
+                ):
+                    await stream.receive()
+        await wait_for_heartbeats(receiver, len(receiver.renewed) + 2)
+        task_group.cancel_scope.cancel()
