Ask again for a layout or configuration whose request was lost

Cause: the diff read again: since heartbeats that change nothing are short, a peer that is ahead names its revisions once; a request that was not sent, as the link back was not open yet, was not repeated. Change: a short heartbeat of a peer that is ahead is handled like its whole presence message.

--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -152,7 +152,7 @@
             lambda: next(self._sequence),
             lambda peer: self._election.is_reachable(peer, current_time()),
             self._handle_message,
-            lambda presence, sequence: self._election.renew(presence, sequence, current_time()),
+            self._renew_presence,
             self._handle_link,
             self._shorten_peer_timeout,
         )
@@ -498,6 +498,15 @@
             self._mesh.send(presence.incarnation, self._describe(presence.incarnation))
             self._update_owners()
 
+    def _renew_presence(self, presence: Presence, sequence: int) -> bool:
+        """Handle a heartbeat that repeats a presence message; return whether that was enough."""
+        # What the message announced may have been requested in vain.
+        is_ahead = (
+            presence.layout_revision > self._shard_layout.revision
+            or presence.configuration_revision > self._configuration.revision
+        )
+        return not is_ahead and self._election.renew(presence, sequence, current_time())
+
     def _remove_predecessor(self, presence: Presence) -> None:
         """Remove an earlier process at the same address: it has ended, and so have its clients."""
         for incarnation, view in list(self._election.peer_by_incarnation.items()):
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -1,5 +1,7 @@
 """Changes of owners in clusters: what the previous owner and the next one may do."""
 
+from dataclasses import replace
+
 import pytest
 
 from redwingport_testbed.simulation.cluster import LONG, Cluster, Entry
@@ -138,3 +140,25 @@
         cluster.world.run(6.0)
     assert set(cluster.statuses()) == {200}, cluster.statuses()
     check(cluster)
+
+
+# Guards against a process that keeps an old layout or configuration because its request for the new
+# one was lost: heartbeats that change nothing do not name the revisions again.
+@pytest.mark.parametrize("field", ["layout_revision", "configuration_revision"])
+def test_short_heartbeat_of_a_process_that_is_ahead_repeats_the_request(field: str) -> None:
+    cluster = Cluster(1, TINY, servers=8, shards=1)
+    with cluster.running():
+        entry = cluster.entries[0]
+        process, loop = entry.process, entry.node.loop
+        assert process is not None and loop is not None
+        presence = next(iter(process._election.peer_by_incarnation.values())).presence
+        ahead = replace(presence, **{field: getattr(presence, field) + 1})
+        enough: list[bool] = []
+
+        def repeat() -> None:
+            process._election.observe(ahead, loop.time())
+            enough.append(process._mesh._on_unchanged(ahead, ahead.sequence + 1))
+
+        loop.call_soon(repeat)
+        cluster.world.run(0.01)
+    assert enough == [False]
