--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -142,8 +142,8 @@
     check(cluster)
 
 
-# Guards against a process that keeps an old layout or configuration because its request for the new
-# one was lost: heartbeats that change nothing do not name the revisions again.
+# Guards against a process that keeps an old layout or configuration because its request for the
+# new one was lost: heartbeats that change nothing do not name the revisions again.
 @pytest.mark.parametrize("field", ["layout_revision", "configuration_revision"])
 def test_short_heartbeat_of_a_process_that_is_ahead_repeats_the_request(field: str) -> None:
     cluster = Cluster(1, TINY, servers=8, shards=1)
@@ -151,8 +151,9 @@
         entry = cluster.entries[0]
         process, loop = entry.process, entry.node.loop
         assert process is not None and loop is not None
-        presence = next(iter(process._election.peer_by_incarnation.values())).presence
-        ahead = replace(presence, **{field: getattr(presence, field) + 1})
+        view = next(iter(process._election.peer_by_incarnation.values()))
+        revision = getattr(view.presence, field) + 1
+        ahead = replace(view.presence, sequence=view.sequence + 1000, **{field: revision})
         enough: list[bool] = []
 
         def repeat() -> None:
