Review new work items when their owner has settled

Cause: work items that arrive while a new owner waits for holders were not reviewed; one that fits on no server waited until it was too late and was answered 429 instead of 503 (test_job_that_fits_on_no_server_is_refused_at_once failed). Change: they are reviewed as on arrival once their tasks may start.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -857,6 +857,9 @@
                     self.queue.add(work)
             if all(t.state is not TaskState.BLOCKED for t in work.task_by_index.values()):
                 self._blocked.discard(work)
+                if not work.resumed and work.queued_tasks():
+                    # It arrived before the holders of an earlier owner were heard.
+                    self._review.refuse_on_arrival(work, self.queue, now)
 
     def _find_earlier_run_over(self, work: Work, task: Task, now: float) -> RunOver | None:
         """Return the evidence that no earlier run of a task is running; None without evidence."""
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -4,6 +4,7 @@
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import EndKind, RunEnd, RunListing, ServerReport
+from redwingport_dispatch.scheduling.admission import FITS_ON_NO_SERVER
 from redwingport_dispatch.scheduling.work import RunOver, RunState
 
 
@@ -279,6 +280,14 @@
     assert first.key != second.key
 
 
+# Guards against a job that waits until it is too late, though no server can ever run it.
+def test_new_work_item_that_fits_on_no_server_is_refused_when_its_owner_has_settled() -> None:
+    harness = SchedulerHarness(servers=2, settled_s=0.1)
+    harness.submit("job", cpu_millis=99000)
+    harness.advance(0.15)
+    assert [reason for _, reason, _ in harness.effects.refused] == [FITS_ON_NO_SERVER]
+
+
 def test_new_work_item_of_a_settled_owner_starts_at_once() -> None:
     harness = SchedulerHarness(servers=2, settled_s=0.1)
     harness.advance(0.1)
