--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -29,16 +29,12 @@
 # Interval at which due stops, runs that must have ended and work items that cannot finish in time
 # are checked.
 TICK_S = 0.05
-# Maximum delay of a task event for which its holder does not wait. An owner that ends in the
-# meantime takes the event with it, and the next one runs the task again.
-MAX_EVENT_DELAY_S = 0.1
 # A pass over the queue that took less time is followed by no pause.
 MIN_PAUSE_S = 0.0005
 # A server that is no longer listed is kept this long, unless it is suspect and has no runs: its
 # entry expires while the store is down, and reappears within two seconds of its recovery.
 UNLISTED_GRACE_S = 2.5
 
-TaskEventRow = tuple[int, int, TaskEvent, int, str]
 Notification = TaskNews | WorkRefused | WorkAbandoned
 
 decisions = logging.getLogger(DECISIONS)
@@ -89,9 +85,7 @@
         self._metrics = metrics
         self._session_by_server: dict[str, ServerSession] = {}
         self._cancel_scope_by_server: dict[str, anyio.CancelScope] = {}
-        self._events_by_holder: dict[str, list[TaskEventRow]] = {}
-        self._urgent_holders: set[str] = set()
-        self._all_events_due_at = 0.0
+        self._events_by_holder: dict[str, list[tuple[int, int, TaskEvent, int, str]]] = {}
         self._dispatch_due = False
         self._has_work = asyncio.Event()
         self._task_group: TaskGroup | None = None
@@ -109,7 +103,6 @@
 
     def stop(self) -> None:
         """Release the servers; their runs continue until the lease expires."""
-        self._flush_task_events()
         self._stopped.set()
 
     # Servers
@@ -211,12 +204,12 @@
         placed_by_index = {index: server_id for index, _, server_id in message.tasks}
         unheard_s = message.unheard_ms / 1000
         self.scheduler.submit(work, placed_by_index, message.resumed, now, unheard_s)
-        self._send_urgent_events()
+        self._flush_task_events()
 
     def cancel(self, holder: str, message: CancelWork) -> None:
         """Stop a work item that its holder has cancelled."""
         self.scheduler.cancel((holder, message.work_id), current_time())
-        self._send_urgent_events()
+        self._flush_task_events()
 
     def release(self, holder: str, message: ReleaseWork) -> None:
         """Give up a work item that its holder has submitted to another owner."""
@@ -250,9 +243,7 @@
 
     def report_placed(self, work: Work, run: Run, placement: Placement) -> None:
         """Notify the holder that the start of a task was ordered; see :class:`Effects`."""
-        self._add_event(
-            work, (work.work_id, run.index, "placed", run.number, run.server_id), is_urgent=True
-        )
+        self._add_event(work, (work.work_id, run.index, "placed", run.number, run.server_id))
         now = current_time()
         earlier: dict[str, object] = {}
         if run.number > 1 or work.resumed:
@@ -273,15 +264,11 @@
 
     def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
         """Notify the holder that a task is done; see :class:`Effects`."""
-        # A job goes on when all tasks of a step are done, so its holder need not hear of each.
-        event: TaskEventRow = (work.work_id, task.index, "done", run_number, server_id)
-        self._add_event(work, event, is_urgent=work.is_done())
+        self._add_event(work, (work.work_id, task.index, "done", run_number, server_id))
 
     def report_failed(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
         """Notify the holder that a task has failed permanently; see :class:`Effects`."""
-        self._add_event(
-            work, (work.work_id, task.index, "failed", run_number, server_id), is_urgent=True
-        )
+        self._add_event(work, (work.work_id, task.index, "failed", run_number, server_id))
 
     def refuse(
         self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
@@ -320,11 +307,9 @@
         """Log an event of a run or a server; see :class:`Effects`."""
         log_event(decisions, logging.INFO, event, term=self.term, shard=self._shard, **fields)
 
-    def _add_event(self, work: Work, event: TaskEventRow, is_urgent: bool) -> None:
+    def _add_event(self, work: Work, event: tuple[int, int, TaskEvent, int, str]) -> None:
+        self._has_work.set()
         self._events_by_holder.setdefault(work.holder, []).append(event)
-        if is_urgent:
-            self._urgent_holders.add(work.holder)
-            self._has_work.set()
 
     def _request_dispatch(self) -> None:
         self._dispatch_due = True
@@ -339,23 +324,14 @@
                 self._dispatch_due = False
                 started_at = current_time()
                 self.scheduler.dispatch(started_at)
-                self._send_urgent_events()
+                self._flush_task_events()
                 # Reports and orders get at least as much processor time as the passes.
                 pause_s = current_time() - started_at
                 if pause_s >= MIN_PAUSE_S:
                     await anyio.sleep(pause_s)
-            self._send_urgent_events()
-
-    def _send_urgent_events(self) -> None:
-        """Send the events of the holders that wait for one of theirs, in one message each."""
-        urgent_holders, self._urgent_holders = self._urgent_holders, set()
-        for holder in urgent_holders:
-            events = self._events_by_holder.pop(holder, None)
-            if events:
-                self._send_notification(holder, TaskNews(events))
+            self._flush_task_events()
 
     def _flush_task_events(self) -> None:
-        self._urgent_holders.clear()
         events_by_holder, self._events_by_holder = self._events_by_holder, {}
         for holder, events in events_by_holder.items():
             self._send_notification(holder, TaskNews(events))
@@ -370,8 +346,4 @@
                     self._drop_server(server_id, "no longer listed")
             self.scheduler.tick(now)
             self._metrics.queued_works.labels(self._shard).set(len(self.scheduler.queue))
-            if now >= self._all_events_due_at:
-                self._all_events_due_at = now + MAX_EVENT_DELAY_S
-                self._flush_task_events()
-            else:
-                self._send_urgent_events()
+            self._flush_task_events()
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -9,9 +9,9 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.scheduling.placement import Placement
-from redwingport_dispatch.scheduling.work import Run, RunOver, RunState, Task, TaskState, Work
+from redwingport_dispatch.scheduling.work import Run, RunOver, RunState, Task, Work
 from redwingport_dispatch.settings import Settings
-from redwingport_messages.dispatch import CancelWork, SubmitWork, TaskNews
+from redwingport_messages.dispatch import SubmitWork
 
 pytestmark = pytest.mark.anyio
 
@@ -116,35 +116,3 @@
     fields = vars(caplog.records[-1])["fields"]
     assert (fields["shard"], fields["term"], fields["holder"]) == (3, 1, "holder")
     assert {key: fields[key] for key in ("resumed", "after") if key in fields} == earlier
-
-
-# Guards against a holder that is woken up for each task of a job while it waits for the last one.
-async def test_ends_of_tasks_are_reported_with_the_last_one_of_their_work_item() -> None:
-    notifications: list[Notification] = []
-    owner = make_owner(notifications)
-    now = anyio.current_time()
-    shape = TaskShape(1000, 64, 0, 0.1)
-    work = Work("holder", 1, "job", 0, "desk", "", shape, 0, 3, now, now + 1, now + 2)
-    work.task_by_index = {index: Task(index, state=TaskState.ACTIVE) for index in range(3)}
-    for index, task in work.task_by_index.items():
-        # Sends what its holder waits for, as each message and pass over the queue does.
-        owner.cancel("other", CancelWork(9))
-        assert notifications == []
-        task.state = TaskState.DONE
-        owner.report_done(work, task, 1, f"s{index}")
-    owner.cancel("other", CancelWork(9))
-    [message] = notifications
-    assert isinstance(message, TaskNews)
-    assert [event[1] for event in message.events] == [0, 1, 2]
-
-
-async def test_owner_that_stops_reports_the_ends_that_it_has_kept() -> None:
-    notifications: list[Notification] = []
-    owner = make_owner(notifications)
-    now = anyio.current_time()
-    shape = TaskShape(1000, 64, 0, 0.1)
-    work = Work("holder", 1, "job", 0, "desk", "", shape, 0, 3, now, now + 1, now + 2)
-    work.task_by_index = {0: Task(0, state=TaskState.DONE), 1: Task(1, state=TaskState.ACTIVE)}
-    owner.report_done(work, work.task_by_index[0], 1, "s0")
-    owner.stop()
-    assert len(notifications) == 1
