--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -161,7 +161,7 @@
         self._servers = ServerWatcher(
             store, self._apply_servers, lambda: bool(self._owner_by_shard), self.metrics
         )
-        self._layout = LayoutWatcher(
+        self._layout_watcher = LayoutWatcher(
             store,
             lambda: self._servers.listing_by_id,
             lambda: self._shard_layout,
@@ -223,7 +223,7 @@
         self._supervisor.start("peers", self._mesh.run)
         self._supervisor.start("configuration", self._configuration.run)
         self._supervisor.start("servers", self._servers.run)
-        self._supervisor.start("shards", self._layout.run)
+        self._supervisor.start("shards", self._layout_watcher.run)
         self._supervisor.start("vms", self._directory.run)
         self._supervisor.start("election", self._watch_election)
         self._supervisor.start("holder", self.holder.watch)
