--- a/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/shards.py
@@ -16,9 +16,8 @@
 # At peak load, 24 servers receive about 280 tasks a second. Smaller shards have too few fast
 # servers for jobs with many long tasks, so that such jobs fail even under normal load.
 SERVERS_PER_SHARD = 24
-# Number of servers per core of the owner's processor capacity, which limits the size of a shard on
-# small machines. An owner needs about 0.9 ms of processor time per task, so that at peak load its
-# shard takes 0.7 of the capacity.
+# Maximum number of servers per core of the owner's processor capacity. A small machine could not
+# place the tasks of a shard of the usual size at peak load.
 SERVERS_PER_CORE = 64
 # Number of bytes of the hash that ranks the shards of a job.
 HASH_BYTES = 6
