Log answers whose connection ended before they were sent

Callers reported answers that were not whole, and the logs had no line that told how an answer had ended: job-ended is written before the answer is sent, and the end of a connection was not logged at all.

The HTTP server now logs answer-cut, with the path of the request (the id of the job is its last part), for every request whose connection ends before the answer was passed on, and for answers of which more than the 64 KiB of the write buffer's limit are unsent when the connection breaks. partial tells whether the client has received a part, which makes the line a warning. Complete answers cost no line, but one entry of a queue per request. The check of the event catalogue now covers http_server.py.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -105,6 +105,13 @@
             *EARLIER_OFFER_FIELDS,
         ),
     ),
+    LogEvent(
+        "answer-cut",
+        _P,
+        "the connection of a client ended before the answer was passed to the operating system; "
+        "`partial` tells whether a part of it was",
+        ("method", "path", "partial", "reason"),
+    ),
     LogEvent(
         "works-handed-over",
         _H,
--- a/packages/dispatch/tests/test_events.py
+++ b/packages/dispatch/tests/test_events.py
@@ -8,6 +8,7 @@
 import pytest
 
 import redwingport_dispatch
+import redwingport_entry
 from redwingport_dispatch.events import (
     BEGIN,
     EARLIER_OFFER_FIELDS,
@@ -23,6 +24,7 @@
 
 SOURCE = Path(redwingport_dispatch.__file__).parent
 ADAPTER = Path(__file__).parents[3] / "platform" / "src"
+HTTP_SERVER = Path(redwingport_entry.__file__).parent / "http_server.py"
 WRITERS = {"log_event", "log_decision", "_log_moved", "_log_run"}
 RUN_FIELDS = ("task", "run", "server")
 # Fields that are passed as a dictionary, by the name of the variable.
@@ -37,7 +39,7 @@
 
 def calls() -> Iterator[tuple[str, set[str]]]:
     """Yield the event and the fields of each call that writes a log line."""
-    for path in [*SOURCE.rglob("*.py"), *ADAPTER.rglob("*.py")]:
+    for path in [*SOURCE.rglob("*.py"), *ADAPTER.rglob("*.py"), HTTP_SERVER]:
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call):
                 continue
--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -1,17 +1,23 @@
 """HTTP server that runs inside the task tree of the process."""
 
 import asyncio
+import logging
+from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
+
+from redwingport_entry.logs import ROOT, log_event
 
 if TYPE_CHECKING:
     from starlette.types import ASGIApp
 
+logger = logging.getLogger(ROOT)
+
 KEEP_ALIVE_S = 30
 HEAD_TIMEOUT_S = 30.0
 MAX_HEAD_BYTES = 64 * 1024
@@ -35,11 +41,18 @@
 
     Neither uvicorn nor the parser limits them. Bytes are counted from the last event of the
     parser: the end of the head, a chunk of the body or the end of the request.
+
+    Answers that did not reach the transport before the end of their connection are logged.
     """
 
     _unparsed_bytes = 0
     _head_timer: asyncio.TimerHandle | None = None
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # The first one is being answered, the others are pipelined.
+        self._open_cycles: deque[RequestResponseCycle] = deque()
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timer of the first head; see :class:`asyncio.Protocol`."""
         super().connection_made(transport)
@@ -48,6 +61,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer of the head; see :class:`asyncio.Protocol`."""
         self._stop_head_timer()
+        if self._open_cycles:
+            for cycle in self._open_cycles:
+                _log_cut_answer(cycle, exc)
+        elif exc is not None and self.flow.write_paused:
+            _log_cut_answer(self.cycle, exc)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -76,6 +94,7 @@
         self._unparsed_bytes = 0
         self._stop_head_timer()
         super().on_headers_complete()
+        self._open_cycles.append(self.cycle)
 
     def on_body(self, body: bytes) -> None:
         """Reset the byte count, and pass a chunk of the body on."""
@@ -87,6 +106,11 @@
         self._unparsed_bytes = 0
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Continue with the next request, once the answer was passed to the transport."""
+        self._open_cycles.popleft()
+        super().on_response_complete()
+
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
@@ -100,6 +124,18 @@
             self._head_timer = None
 
 
+def _log_cut_answer(cycle: RequestResponseCycle, error: Exception | None) -> None:
+    log_event(
+        logger,
+        logging.WARNING if cycle.response_started else logging.INFO,
+        "answer-cut",
+        method=cycle.scope["method"],
+        path=cycle.scope["path"],
+        partial=cycle.response_started,
+        reason=type(error).__name__ if error is not None else "closed",
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Listener:
     """Describe where a server listens and how it shuts down.
