Send the head of an answer together with its body

uvicorn writes the head of a response to the transport when the application passes it on, and the body with the next message: two system calls and two segments per answer. A process killed, a VM without power or a connection cut between the two leaves its client with half an answer.

The head now waits in the protocol for the first part of the body and goes out in the same write, for every answer of every listener: jobs, errors, readiness, metrics, and uvicorn's own 500. The ASGI specification asks for this. What one write has handed to the kernel is sent whole even when the process dies. Answers with several parts are still streamed part by part, and a head whose body never comes is not sent any more.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -21,6 +21,7 @@
 KEEP_ALIVE_S = 30
 HEAD_TIMEOUT_S = 30.0
 MAX_HEAD_BYTES = 64 * 1024
+_CONTINUE = b"HTTP/1.1 100 "
 _HEAD_TOO_LONG = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -36,7 +37,60 @@
         yield
 
 
-class BoundedProtocol(HttpToolsProtocol):
+class _ResponseTransport:
+    """Pass the head of a response on together with the first part of its body.
+
+    A client that received a head alone cannot tell the answer if the process is killed or the
+    connection breaks before the body is sent. A head whose body never comes is dropped.
+    Implements what :class:`RequestResponseCycle` uses of a transport.
+
+    :param transport: transport of the connection.
+    :param has_body: whether the request allows a body in its response.
+    """
+
+    __slots__ = ("_has_body", "_head", "_is_head_written", "_transport")
+
+    def __init__(self, transport: asyncio.Transport, has_body: bool) -> None:
+        self._transport = transport
+        self._has_body = has_body
+        self._is_head_written = False
+        self._head = b""
+
+    def write(self, data: bytes) -> None:
+        """Write data, or keep it if it is the head; see :class:`asyncio.Transport`."""
+        if self._head:
+            data, self._head = self._head + data, b""
+        elif not self._is_head_written and not data.startswith(_CONTINUE):
+            self._is_head_written = True
+            if self._has_body:
+                self._head = data
+                return
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection; see :class:`asyncio.Transport`."""
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        """Tell whether the connection is closing; see :class:`asyncio.Transport`."""
+        return self._transport.is_closing()
+
+
+class WholeAnswerProtocol(HttpToolsProtocol):
+    """Write the head of a response together with the first part of its body.
+
+    The ASGI specification forbids servers to send a head earlier, but uvicorn does.
+    """
+
+    def on_headers_complete(self) -> None:
+        """Start the request."""
+        super().on_headers_complete()
+        self.cycle.transport = _ResponseTransport(  # type: ignore[assignment]
+            self.transport, has_body=self.cycle.scope["method"] != "HEAD"
+        )
+
+
+class BoundedProtocol(WholeAnswerProtocol):
     """Limit the size and the time of a request's head, and the size of its trailer.
 
     Neither uvicorn nor the parser limits them. Bytes are counted from the last event of the
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -1,8 +1,11 @@
 """How answers reach clients of the HTTP server, seen through plain sockets."""
 
 import logging
+import signal
 import socket
 import struct
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, closing
 from typing import Any
@@ -13,17 +16,51 @@
 
 from redwingport_entry.http_server import Listener, build_server
 from redwingport_entry.logs import ROOT
+from redwingport_testbed.cluster.raw import answer_of, read_to_end
 
 pytestmark = pytest.mark.anyio
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 30.0
+KILLS = 10
+LARGE_BYTES = 8_000_000
+CLOSE = b"\r\nconnection: close\r\n\r\n"
 REQUEST = (
     b"POST /jobs/0000000000000001 HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 2\r\n\r\n{}"
 )
+BODY = b'{"state":"complete"}'
 # Makes close() reset the connection: struct linger, enabled, with a time of zero.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# A process that writes a line when the head of an answer is passed to the server, and another
+# one when the answer is complete. Its argument tells whether it waits between the two.
+PROGRAM = """
+import sys
+import anyio
+from redwingport_entry.http_server import Listener, build_server
+
+port, waits = int(sys.argv[1]), sys.argv[2] == "waits"
+body = b'{"state":"complete"}'
+
+async def app(scope, receive, send):
+    headers = [(b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    if waits:
+        print("head", flush=True)
+        await anyio.sleep_forever()
+    await send({"type": "http.response.body", "body": body})
+
+async def main():
+    server = build_server(app, Listener("127.0.0.1", port, 1))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        while not server.started:
+            await anyio.sleep(0.01)
+        print("started", flush=True)
+
+anyio.run(main)
+"""
+
 App = Callable[[Any, Any, Any], Awaitable[None]]
 
 
@@ -106,3 +143,150 @@
         await run_sync(send_and_leave)
         logged = await wait_for_event(caplog, "answer-cut")
     assert logged == fields | {"method": "POST", "path": "/jobs/0000000000000001"}
+
+
+async def answer_with_length(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"content-length", b"%d" % len(BODY)), (b"connection", b"close")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await anyio.sleep(0)
+    await send({"type": "http.response.body", "body": BODY})
+
+
+async def answer_in_one_chunk(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"connection", b"close")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await anyio.sleep(0)
+    await send({"type": "http.response.body", "body": BODY})
+
+
+async def answer_without_body(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"connection", b"close")]
+    await send({"type": "http.response.start", "status": 204, "headers": headers})
+    await send({"type": "http.response.body"})
+
+
+async def fail_after_the_head(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"content-length", b"%d" % len(BODY))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    raise RuntimeError("no body")
+
+
+async def fail_before_the_answer(scope: Any, receive: Any, send: Any) -> None:
+    raise RuntimeError("no answer")
+
+
+# Guards against a status and a length that a client receives without the body.
+@pytest.mark.parametrize(
+    "app, request_bytes, status, body",
+    [
+        (answer_with_length, REQUEST, 200, BODY),
+        (answer_with_length, REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"), 200, BODY),
+        (answer_with_length, b"HEAD / HTTP/1.1\r\nhost: x\r\n\r\n", 200, b""),
+        (answer_in_one_chunk, REQUEST, 200, b"14\r\n" + BODY + b"\r\n0\r\n\r\n"),
+        (answer_without_body, REQUEST, 204, b""),
+        (fail_before_the_answer, REQUEST, 500, b"Internal Server Error"),
+        (answer_with_length, b"no request\r\n\r\n", 400, b"Invalid HTTP request received."),
+        (answer_with_length, b"GET /" + b"x" * 70_000, 431, b""),
+    ],
+)
+async def test_answer_arrives_in_one_segment(
+    free_tcp_port: int, app: App, request_bytes: bytes, status: int, body: bytes
+) -> None:
+    async with serving(app, free_tcp_port):
+        answer, segments = await run_sync(answer_of, free_tcp_port, request_bytes)
+    head, _, received = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status)
+    assert received == body
+    assert segments == 1
+
+
+async def test_application_that_fails_after_the_head_sends_nothing(free_tcp_port: int) -> None:
+    async with serving(fail_after_the_head, free_tcp_port):
+        answer, _ = await run_sync(answer_of, free_tcp_port, REQUEST)
+    assert answer == b""
+
+
+async def stream_parts(scope: Any, receive: Any, send: Any) -> None:
+    await receive()
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    for part in (b"", b"first", b"x" * LARGE_BYTES):
+        await send({"type": "http.response.body", "body": part, "more_body": True})
+        if part == b"first":
+            # The client asks for the rest once it has the first part.
+            await receive()
+    await send({"type": "http.response.body"})
+
+
+async def test_streamed_answer_is_sent_part_by_part(free_tcp_port: int) -> None:
+    request = REQUEST.replace(b"length: 2", b"length: 3").replace(b"\r\n\r\n{}", CLOSE + b"1")
+
+    def exchange() -> bytes:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(request)
+            received = b""
+            while not received.endswith(b"\r\n\r\n5\r\nfirst\r\n"):
+                received += sock.recv(65536)
+            sock.sendall(b"23")
+            return read_to_end(sock)
+
+    async with serving(stream_parts, free_tcp_port):
+        rest = await run_sync(exchange)
+    assert rest == b"%x\r\n%b\r\n0\r\n\r\n" % (LARGE_BYTES, b"x" * LARGE_BYTES)
+
+
+async def test_continue_is_sent_before_the_body_of_the_request(free_tcp_port: int) -> None:
+    head = REQUEST.replace(b"\r\n\r\n{}", b"\r\nexpect: 100-continue" + CLOSE)
+
+    async def read_and_answer(scope: Any, receive: Any, send: Any) -> None:
+        assert (await receive())["body"] == b"{}"
+        await answer_with_length(scope, receive, send)
+
+    def exchange() -> tuple[bytes, bytes]:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(head)
+            first = sock.recv(65536)
+            sock.sendall(b"{}")
+            return first, read_to_end(sock)
+
+    async with serving(read_and_answer, free_tcp_port):
+        first, answer = await run_sync(exchange)
+    assert first == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(BODY)
+
+
+def start_program(port: int, mode: str) -> subprocess.Popen[bytes]:
+    program = subprocess.Popen(
+        [sys.executable, "-c", PROGRAM, str(port), mode], stdout=subprocess.PIPE
+    )
+    assert program.stdout is not None
+    assert program.stdout.readline() == b"started\n"
+    return program
+
+
+# Guards against a 200 without a state for a job whose process is killed during its answer.
+def test_process_killed_between_head_and_body_has_sent_nothing(free_tcp_port: int) -> None:
+    with start_program(free_tcp_port, "waits") as program, closing(connect(free_tcp_port)) as sock:
+        sock.sendall(REQUEST)
+        assert program.stdout is not None
+        assert program.stdout.readline() == b"head\n"
+        program.send_signal(signal.SIGKILL)
+        program.wait()
+        assert read_to_end(sock) == b""
+
+
+# Guards against an answer that ends before its length when a process is killed at its first byte.
+def test_process_killed_at_the_first_byte_has_sent_the_whole_answer(free_tcp_port: int) -> None:
+    cut = []
+    for _ in range(KILLS):
+        with (
+            start_program(free_tcp_port, "at once") as program,
+            closing(connect(free_tcp_port)) as sock,
+        ):
+            sock.sendall(REQUEST)
+            first = sock.recv(1)
+            program.send_signal(signal.SIGKILL)
+            answer = first + read_to_end(sock)
+            program.wait()
+        if answer.partition(b"\r\n\r\n")[2] != BODY:
+            cut.append(answer)
+    assert cut == []
--- a/packages/testbed/src/redwingport_testbed/cluster/raw.py
+++ b/packages/testbed/src/redwingport_testbed/cluster/raw.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -19,6 +20,8 @@
 
 CLIENT_TIMEOUT_S = 10.0
 RECEIVE_BYTES = 64 * 1024
+# tcpi_data_segs_in of struct tcp_info, the same on all architectures.
+_DATA_SEGMENTS_OFFSET = 152
 _CONNECTION_ERRORS = (
     OSError,
     anyio.BrokenResourceError,
@@ -226,6 +229,33 @@
         return b""
 
 
+def read_to_end(sock: socket.socket) -> bytes:
+    """Return what arrives until the other side closes or resets the connection."""
+    received = b""
+    try:
+        while chunk := sock.recv(RECEIVE_BYTES):
+            received += chunk
+    except ConnectionResetError:
+        pass
+    return received
+
+
+def data_segments(sock: socket.socket) -> int:
+    """Return the number of segments with data that have arrived on a connection."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _DATA_SEGMENTS_OFFSET + 4)
+    return int(struct.unpack_from("I", info, _DATA_SEGMENTS_OFFSET)[0])
+
+
+def answer_of(port: int, request: bytes) -> tuple[bytes, int]:
+    """Send a request that ends its connection.
+
+    :returns: the answer and the number of segments in which it arrived.
+    """
+    with socket.create_connection((HOST, port), CLIENT_TIMEOUT_S) as sock:
+        sock.sendall(request)
+        return read_to_end(sock), data_segments(sock)
+
+
 def status_of(answer: bytes) -> int:
     """Return the status code of a received response, 0 if there is none."""
     return int(answer.split(b" ", 2)[1]) if answer.startswith(b"HTTP/1.") else 0
