Send whole answers from the stand-ins, too

The stand-ins of the test bed and of the platform's tests sent the head of an answer before its body, as the processes did. A process under test that got half an answer from a stand-in that stopped could not be told from one with a fault of its own. Their protocol is now the one of the HTTP server. Faults that cut answers on purpose still do.

--- a/packages/testbed/src/redwingport_testbed/cluster/raw.py
+++ b/packages/testbed/src/redwingport_testbed/cluster/raw.py
@@ -246,6 +246,15 @@
     return int(struct.unpack_from("I", info, _DATA_SEGMENTS_OFFSET)[0])
 
 
+def http_request(line: str, body: bytes = b"", host: str = HOST) -> bytes:
+    """Return the bytes of a request that ends its connection.
+
+    :param line: method and path.
+    """
+    head = f"{line} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {len(body)}\r\n"
+    return f"{head}connection: close\r\n\r\n".encode() + body
+
+
 def answer_of(port: int, request: bytes) -> tuple[bytes, int]:
     """Send a request that ends its connection.
 
--- a/packages/testbed/src/redwingport_testbed/standins/server.py
+++ b/packages/testbed/src/redwingport_testbed/standins/server.py
@@ -10,8 +10,8 @@
 import anyio
 import uvicorn
 from starlette.types import ASGIApp
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from redwingport_entry.http_server import WholeAnswerProtocol
 from redwingport_testbed.exceptions import TestbedError
 
 ABORT_KEY = "redwingport.abort"
@@ -38,10 +38,10 @@
     max_connections: int = 0
 
 
-def _protocol_class(max_connections: int) -> type[HttpToolsProtocol]:
+def _protocol_class(max_connections: int) -> type[WholeAnswerProtocol]:
     """Return a protocol that limits connections and lets an app abort its connection."""
 
-    class StandInProtocol(HttpToolsProtocol):
+    class StandInProtocol(WholeAnswerProtocol):
         def connection_made(self, transport: object) -> None:
             super().connection_made(transport)  # type: ignore[arg-type]
             if max_connections and len(self.connections) > max_connections:
--- a/packages/testbed/tests/test_executor.py
+++ b/packages/testbed/tests/test_executor.py
@@ -8,8 +8,10 @@
 
 import anyio
 import pytest
+from anyio.to_thread import run_sync
 
 from redwingport_messages.backend import HEADER_LOAD, HEADER_SUBMISSION, ExecutorLoad, parse_load
+from redwingport_testbed.cluster.raw import answer_of, http_request
 from redwingport_testbed.http_client import ConnectionBrokenError, HttpAnswer, HttpClient
 from redwingport_testbed.standins.executor import Executor, ExecutorSettings
 from redwingport_testbed.standins.server import Site, serving
@@ -24,6 +26,7 @@
 
     def __init__(self, executor: Executor, port: int) -> None:
         self.executor = executor
+        self.port = port
         self.url = f"http://127.0.0.1:{port}"
         self.client = HttpClient()
 
@@ -95,6 +98,14 @@
         await caller.run("s1")
 
 
+# Guards against entry processes that get half an answer from a stand-in without such a fault.
+async def test_an_answer_arrives_in_one_segment(caller: Caller) -> None:
+    request = http_request("POST /operations/stop-check", b'{"work_ms": 1}')
+    answer, segments = await run_sync(answer_of, caller.port, request)
+    assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b'"operation":"stop-check"}')
+    assert segments == 1
+
+
 async def test_a_wrong_echo_names_another_submission(caller: Caller) -> None:
     await caller.set_faults(wrong_echo=True)
     assert (await caller.run("s1")).headers[HEADER_SUBMISSION.lower()] != "s1"
