--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -1,20 +1,27 @@
 """HTTP server that runs inside the task tree of the process."""
 
 import asyncio
+import logging
+from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
+
+from redwingport_entry.logs import ROOT, log_event
 
 if TYPE_CHECKING:
     from starlette.types import ASGIApp
 
+logger = logging.getLogger(ROOT)
+
 KEEP_ALIVE_S = 30
 HEAD_TIMEOUT_S = 30.0
 MAX_HEAD_BYTES = 64 * 1024
+_CONTINUE = b"HTTP/1.1 100 "
 _HEAD_TOO_LONG = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -30,16 +37,76 @@
         yield
 
 
-class BoundedProtocol(HttpToolsProtocol):
+class _ResponseTransport:
+    """Pass the head of a response on together with the first part of its body.
+
+    A client that received a head alone cannot tell the answer if the process is killed or the
+    connection breaks before the body is sent. A head whose body never comes is dropped.
+    Implements what :class:`RequestResponseCycle` uses of a transport.
+
+    :param transport: transport of the connection.
+    :param has_body: whether the request allows a body in its response.
+    """
+
+    __slots__ = ("_has_body", "_head", "_is_head_written", "_transport")
+
+    def __init__(self, transport: asyncio.Transport, has_body: bool) -> None:
+        self._transport = transport
+        self._has_body = has_body
+        self._is_head_written = False
+        self._head = b""
+
+    def write(self, data: bytes) -> None:
+        """Write data, or keep it if it is the head; see :class:`asyncio.Transport`."""
+        if self._head:
+            data, self._head = self._head + data, b""
+        elif not self._is_head_written and not data.startswith(_CONTINUE):
+            self._is_head_written = True
+            if self._has_body:
+                self._head = data
+                return
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection; see :class:`asyncio.Transport`."""
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        """Tell whether the connection is closing; see :class:`asyncio.Transport`."""
+        return self._transport.is_closing()
+
+
+class WholeAnswerProtocol(HttpToolsProtocol):
+    """Write the head of a response together with the first part of its body.
+
+    The ASGI specification forbids servers to send a head earlier, but uvicorn does.
+    """
+
+    def on_headers_complete(self) -> None:
+        """Start the request."""
+        super().on_headers_complete()
+        self.cycle.transport = _ResponseTransport(  # type: ignore[assignment]
+            self.transport, has_body=self.cycle.scope["method"] != "HEAD"
+        )
+
+
+class BoundedProtocol(WholeAnswerProtocol):
     """Limit the size and the time of a request's head, and the size of its trailer.
 
     Neither uvicorn nor the parser limits them. Bytes are counted from the last event of the
     parser: the end of the head, a chunk of the body or the end of the request.
+
+    Answers that did not reach the transport before the end of their connection are logged.
     """
 
     _unparsed_bytes = 0
     _head_timer: asyncio.TimerHandle | None = None
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # The first one is being answered, the others are pipelined.
+        self._open_cycles: deque[RequestResponseCycle] = deque()
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timer of the first head; see :class:`asyncio.Protocol`."""
         super().connection_made(transport)
@@ -48,6 +115,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer of the head; see :class:`asyncio.Protocol`."""
         self._stop_head_timer()
+        if self._open_cycles:
+            for cycle in self._open_cycles:
+                _log_cut_answer(cycle, exc)
+        elif exc is not None and self.flow.write_paused:
+            _log_cut_answer(self.cycle, exc)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -76,6 +148,7 @@
         self._unparsed_bytes = 0
         self._stop_head_timer()
         super().on_headers_complete()
+        self._open_cycles.append(self.cycle)
 
     def on_body(self, body: bytes) -> None:
         """Reset the byte count, and pass a chunk of the body on."""
@@ -87,6 +160,11 @@
         self._unparsed_bytes = 0
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Continue with the next request, once the answer was passed to the transport."""
+        self._open_cycles.popleft()
+        super().on_response_complete()
+
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
@@ -100,6 +178,18 @@
             self._head_timer = None
 
 
+def _log_cut_answer(cycle: RequestResponseCycle, error: Exception | None) -> None:
+    log_event(
+        logger,
+        logging.WARNING if cycle.response_started else logging.INFO,
+        "answer-cut",
+        method=cycle.scope["method"],
+        path=cycle.scope["path"],
+        partial=cycle.response_started,
+        reason=type(error).__name__ if error is not None else "closed",
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Listener:
     """Describe where a server listens and how it shuts down.
