--- a/packages/messages/src/redwingport_messages/addresses.py
+++ b/packages/messages/src/redwingport_messages/addresses.py
@@ -1,7 +1,11 @@
 """Validation of network addresses."""
 
+import re
 from ipaddress import ip_address
 
+# Excludes scope ids and digits of other scripts, which the standard library accepts.
+_ADDRESS = re.compile(r"(?:\[([0-9A-Fa-f:.]+)\]|([0-9A-Fa-f:.]+)):([0-9]{1,5})")
+
 
 def require_address(value: str) -> str:
     """Validate an address of the form ``IP:PORT``; an IPv6 address may be in brackets.
@@ -10,11 +14,12 @@
     :returns: the text, unchanged.
     :raises ValueError: if the text has another form or the port is not in 1 to 65535.
     """
-    host, _, port = value.rpartition(":")
+    match = _ADDRESS.fullmatch(value)
     try:
-        ip_address(host.removeprefix("[").removesuffix("]"))
+        if match is not None:
+            ip_address(match[1] or match[2])
+            if 1 <= int(match[3]) <= 65535:
+                return value
     except ValueError:
-        host = ""
-    if not host or not (port.isdecimal() and len(port) <= 5 and 1 <= int(port) <= 65535):
-        raise ValueError("address does not have the form IP:PORT")
-    return value
+        pass
+    raise ValueError("address does not have the form IP:PORT")
