Drop a message that can't be encoded instead of all links

Operators saw `child-failed process/peers`, peers saw `peer-link-ended`. Cause: msgpack's OverflowError isn't an error of a link, so it ended the task group of all links, although one value was at fault. Change: encode_frame raises MessageError for values that msgpack can't represent; the connection drops that message, logs `message-dropped` and sends the others. An unexpected error of a message handler still ends the links, as its test requires. Result: test_message_that_cannot_be_encoded_is_dropped_alone failed before with OverflowError out of the task group and passes now.

--- a/packages/dispatch/src/redwingport_dispatch/connections.py
+++ b/packages/dispatch/src/redwingport_dispatch/connections.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable
 from typing import cast
 
 import anyio
 
+from redwingport_entry.logs import ROOT, log_event
 from redwingport_messages.dispatch import Presence
 from redwingport_messages.exceptions import MessageError
 from redwingport_messages.frames import (
@@ -24,6 +26,8 @@
 # A connection whose peer does not read for this long has failed.
 SEND_TIMEOUT_S = 0.5
 
+logger = logging.getLogger(ROOT)
+
 
 class OutgoingConnection(asyncio.Protocol):
     """Send messages on one connection; whatever the peer sends on it is not read."""
@@ -58,14 +62,14 @@
         self._writable.set()
 
     async def send(self, messages: Iterable[Frame]) -> None:
-        """Send messages in a single write.
+        """Send messages in a single write; a message that can't be encoded is dropped.
 
         :raises anyio.BrokenResourceError: when the connection is lost.
         :raises TimeoutError: when the peer does not read.
         """
         assert self._transport is not None
         self._check_lost()
-        self._transport.write(b"".join(map(encode_frame, messages)))
+        self._transport.write(b"".join(map(_encode, messages)))
         if not self._writable.is_set():
             with anyio.fail_after(SEND_TIMEOUT_S):
                 await self._writable.wait()
@@ -154,3 +158,12 @@
         if not self._ended:
             self.abort()
             self._on_end(self, error)
+
+
+def _encode(message: Frame) -> bytes:
+    """Return the frame of a message; empty if it can't be encoded."""
+    try:
+        return encode_frame(message)
+    except MessageError as error:
+        log_event(logger, logging.ERROR, "message-dropped", reason=str(error))
+        return b""
--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -321,6 +321,7 @@
         "the queue to a process is full or was just closed; a message was dropped",
         ("peer",),
     ),
+    LogEvent("message-dropped", _P, "a message to a process could not be encoded", ("reason",)),
     LogEvent("message-unexpected", _P, "a process received an unexpected message", ("kind",)),
     LogEvent("store-lost", _P, "the store returns no usable answer", ("use", "reason")),
     LogEvent("store-regained", _P, "the store answers again", ("use", "after_s")),
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -290,3 +290,24 @@
                     await stream.receive()
         await wait_for_heartbeats(receiver, len(receiver.renewed) + 2)
         task_group.cancel_scope.cancel()
+
+
+# Guards against a message that ends the links to all processes, again on each new link.
+async def test_message_that_cannot_be_encoded_is_dropped_alone() -> None:
+    sender, receiver = Process("sender"), Process("receiver")
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        receiver.mesh.add_address(sender.address)
+        with anyio.fail_after(5):
+            while not sender.mesh.send("receiver", TaskNews([])):
+                await anyio.sleep(0.01)
+        for number in (1, 2**70, 2):
+            assert sender.mesh.send("receiver", TaskNews([(number, 0, "done", 1, "s")]))
+        with anyio.fail_after(5):
+            while receiver.task_event_count() < 3:
+                await anyio.sleep(0.01)
+        await wait_for_heartbeats(receiver, len(receiver.renewed) + 2)
+        task_group.cancel_scope.cancel()
+    events = [m.events for m in receiver.received if isinstance(m, TaskNews) and m.events]
+    assert events == [[(1, 0, "done", 1, "s")], [(2, 0, "done", 1, "s")]]
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -291,10 +291,15 @@
 
     :param message: the message.
     :returns: length of the body (4 bytes, big endian) and msgpack body.
-    :raises MessageError: if the body is longer than :data:`MAX_FRAME_BYTES`.
+    :raises MessageError: if the body is longer than :data:`MAX_FRAME_BYTES`, or has a value that
+        msgpack can't represent, such as an integer of more than 64 bits.
     """
     code = _CODE_BY_CLASS[type(message)]
-    body: bytes = _pack((code, *_CODEC_BY_CODE[code].read(message)))
+    try:
+        body: bytes = _pack((code, *_CODEC_BY_CODE[code].read(message)))
+    except (OverflowError, ValueError) as error:
+        kind = type(message).__name__
+        raise MessageError("encode frame", "", f"{kind}: {error}") from error
     if len(body) > MAX_FRAME_BYTES:
         raise MessageError("encode frame", "", f"{len(body)} bytes exceed {MAX_FRAME_BYTES}")
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
