Keep the links when a peer's address can't be dialled

Found by a test, not seen in operation: one row of the table of processes, or one heartbeat, whose address has no valid port ended the links to all processes. The address is kept, so they ended again after each restart. Cause: int() and the event loop raise ValueError or OverflowError for such an address, which aren't errors of a link. Change: they count as a failed connection, which is tried again with the usual backoff. Result: the five cases of test_address_that_cannot_be_dialled_costs_no_link failed before and pass now.

--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -234,7 +234,8 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(OutgoingConnection, host, int(port))
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Addresses come from rows and messages of others, and may be none.
             raise OSError("connection failed") from error
         return connection
 
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -311,3 +311,19 @@
         task_group.cancel_scope.cancel()
     events = [m.events for m in receiver.received if isinstance(m, TaskNews) and m.events]
     assert events == [[(1, 0, "done", 1, "s")], [(2, 0, "done", 1, "s")]]
+
+
+# Guards against an address in a row or message of another writer that ends the links to all
+# processes, again after every restart of the links.
+@pytest.mark.parametrize("port", ["", "x", "0", "99999", "9" * 5000])
+async def test_address_that_cannot_be_dialled_costs_no_link(port: str) -> None:
+    sender, receiver = Process("sender"), Process("receiver")
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        sender.mesh.add_address(f"127.0.0.1:{port}")
+        sender.mesh.add_address(receiver.address)
+        await wait_for_heartbeats(receiver, 3)
+        sender.mesh.add_address(f"127.0.0.1\0:{port}")
+        await wait_for_heartbeats(receiver, len(receiver.renewed) + 2)
+        task_group.cancel_scope.cancel()
