Bound the number of shards in messages between processes

Found by a test, not seen in operation: a layout message of up to 16 MB, some millions of shards, was applied; each process keeps state for every shard and goes over all of them at each election. Cause: the list of sizes had no maximum. Change: 4,096 shards, about twice what the largest table of servers that is read needs (50,000 servers, 24 a shard). Result: test_layout_of_too_many_shards_is_refused guards it.

--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -10,6 +10,8 @@
 from pydantic import ConfigDict, Field
 from pydantic.dataclasses import dataclass as checked_dataclass
 
+# Maximum number of shards; a process keeps some state for each and goes over all of them.
+MAX_SHARDS = 4096
 _STRICT = ConfigDict(strict=True, allow_inf_nan=False)
 Count = Annotated[int, Field(ge=0)]
 TaskEvent = Literal["placed", "done", "failed"]
@@ -209,7 +211,7 @@
     """
 
     revision: Annotated[int, Field(ge=1)]
-    sizes: Annotated[list[Count], Field(min_length=1)]
+    sizes: Annotated[list[Count], Field(min_length=1, max_length=MAX_SHARDS)]
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
--- a/packages/messages/tests/test_frames.py
+++ b/packages/messages/tests/test_frames.py
@@ -1,9 +1,11 @@
 """Tests of the encoding and decoding of frames."""
 
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from redwingport_messages.dispatch import MAX_SHARDS, CancelWork, LayoutAnswer, TaskNews
 from redwingport_messages.exceptions import MessageError
 from redwingport_messages.frames import (
     LENGTH_BYTES,
@@ -37,3 +39,21 @@
         decode_frame(body, "peer")
     except MessageError as error:
         assert error.peer == "peer"
+
+
+@pytest.mark.parametrize("message", [TaskNews([(2**70, 0, "done", 1, "s")]), CancelWork(2**64)])
+def test_value_beyond_64_bits_raises_a_message_error(message: TaskNews | CancelWork) -> None:
+    """Guard against an error of the codec that ends more than one message."""
+    intact = encode_frame(CancelWork(1))
+    with pytest.raises(MessageError):
+        encode_frame(message)
+    assert encode_frame(CancelWork(1)) == intact
+
+
+def test_layout_of_too_many_shards_is_refused() -> None:
+    """Guard against a message that takes the memory and time of each process."""
+    body = msgpack.packb((24, 5, [1] * (MAX_SHARDS + 1)))
+    with pytest.raises(MessageError):
+        decode_frame(body, "peer")
+    message = LayoutAnswer(5, [1] * MAX_SHARDS)
+    assert decode_frame(encode_frame(message)[LENGTH_BYTES:], "peer") == message
