--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -494,3 +494,15 @@
 
     job = make_job(tasks=1, steps=2)
     assert (await run_job(job, script)).outcome is Outcome.UNKNOWN
+
+
+async def test_event_of_an_unknown_task_is_ignored() -> None:
+    """Guard against a message of one peer that ends the links to all others."""
+
+    def script(holder: Holder, links: Links) -> None:
+        holder.handle_notification(
+            "o", TaskNews([(1, 7, "placed", 1, "s"), (1, 7, "done", 1, "s")])
+        )
+        holder.handle_notification("o", TaskNews([(1, 0, "done", 1, "s"), (1, 1, "done", 1, "s")]))
+
+    assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
