Refuse settings with numbers out of range

Found by a test, not seen in operation: `cores = inf` passed the check of the settings, and the process ended at its start with a traceback; with `cores = 1e300` its heartbeats could not be encoded. Cause: the numbers had no maximum. The start ends with a line that names the setting, as for other invalid settings.

--- a/packages/dispatch/src/redwingport_dispatch/settings.py
+++ b/packages/dispatch/src/redwingport_dispatch/settings.py
@@ -30,8 +30,8 @@
     vm: str = Field(min_length=1)
     domain: str = Field(min_length=1)
     region: str = ""
-    cores: float = Field(gt=0, default=1.0)
-    core_share: float = Field(gt=0, default=1.0)
+    cores: float = Field(gt=0, le=1000, default=1.0)
+    core_share: float = Field(gt=0, le=1000, default=1.0)
 
 
 class ListenSettings(_Section):
@@ -69,8 +69,8 @@
 
     lease_ms: int = Field(ge=100, le=60_000)
     stop_ms: int = Field(ge=0, le=10_000)
-    grace_s: float = Field(gt=0)
-    far_factor: float = Field(ge=1, default=1.0)
+    grace_s: float = Field(gt=0, le=86_400)
+    far_factor: float = Field(ge=1, le=1000, default=1.0)
 
     @property
     def lease_s(self) -> float:
