Ignore unknown tasks of a resubmitted work item

Found by a test, not seen in operation: a work item that is submitted again with the index of a task that its first submission didn't have raised KeyError in the owner, which ended the links of its process to all peers. A holder of this system sends no such message. Change: the index is ignored. Result: test_resubmission_with_an_unknown_task_is_handled failed before with KeyError: 7 and passes now.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -283,8 +283,8 @@
     def _resubmit(self, work: Work, placed_by_index: dict[int, str]) -> None:
         """Update a resubmitted work item with the placements that its holder knows now."""
         for index, server_id in placed_by_index.items():
-            task = work.task_by_index[index]
-            if task.state is TaskState.BLOCKED and not task.blocked_on:
+            task = work.task_by_index.get(index)
+            if task and task.state is TaskState.BLOCKED and not task.blocked_on:
                 task.blocked_on = server_id
         self._report_done_again(work)
 
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -1,6 +1,7 @@
 """Owner at the start of its term, and the lines that it logs."""
 
 import logging
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -24,6 +25,34 @@
     }
 )
 
+WORK = SubmitWork(
+    work_id=1,
+    job_id="0" * 16,
+    shard=0,
+    layout_revision=1,
+    step=0,
+    service="desk",
+    spec="",
+    cpu_millis=7000,
+    memory_mb=64,
+    gpus=0,
+    estimate_ms=200,
+    required_label="",
+    near_rack="",
+    max_per_server=0,
+    priority=0,
+    attempts=3,
+    waited_ms=0,
+    target_ms=500,
+    deadline_ms=1500,
+    tasks=[(0, 1, "")],
+    resumed=False,
+    unheard_ms=0,
+    other_servers=False,
+    more_offers=False,
+    refused_for_load=False,
+)
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -59,37 +88,19 @@
     """
     notifications: list[Notification] = []
     owner = make_owner(notifications)
-    work = SubmitWork(
-        work_id=1,
-        job_id="0" * 16,
-        shard=0,
-        layout_revision=1,
-        step=0,
-        service="desk",
-        spec="",
-        cpu_millis=7000,
-        memory_mb=64,
-        gpus=0,
-        estimate_ms=200,
-        required_label="",
-        near_rack="",
-        max_per_server=0,
-        priority=0,
-        attempts=3,
-        waited_ms=0,
-        target_ms=500,
-        deadline_ms=1500,
-        tasks=[(0, 1, "")],
-        resumed=False,
-        unheard_ms=0,
-        other_servers=False,
-        more_offers=False,
-        refused_for_load=False,
-    )
-    owner.submit("holder", work)
+    owner.submit("holder", WORK)
     assert notifications == []
 
 
+async def test_resubmission_with_an_unknown_task_is_handled() -> None:
+    """Guard against a message of one holder that ends the links to all processes."""
+    owner = make_owner([])
+    owner.submit("holder", WORK)
+    owner.submit("holder", replace(WORK, tasks=[(0, 1, ""), (7, 1, "s0")]))
+    (work,) = owner.scheduler.work_by_key.values()
+    assert list(work.task_by_index) == [0]
+
+
 @pytest.mark.parametrize(
     ("number", "resumed", "earlier"),
     [
