End a request's wait only for its own client

A client that had sent its job again over a new connection got `canceled` for a job that nobody had cancelled, or 504 well before its own deadline.

Cause: the first request with an id ran the job, and all later ones waited for its end. When the first client disconnected, the job ended as cancelled for all of them; at the first client's deadline, it ended for all of them, and a later request with an earlier deadline wasn't answered at its own.

Change: a job counts the requests that wait for it and goes on as long as there is one. Each request waits until its own deadline and is answered 504 then; a refusal, which promises that the job never runs, is given only when the job has ended. A request with a later deadline extends that of the job, and its work items are submitted again to let the owner know. `request-joined` and `request-left` log what happens to the requests of one job, `job-ended` has `requests` and `waiters` if there were several.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -47,6 +47,9 @@
 # Present if the job was refused by a shard or handed over to another owner. `done` lists, for each
 # completed task, its step and index, run number, server and the age of the report in seconds.
 EARLIER_OFFER_FIELDS = ("refused_by", "handovers", "done")
+# Present if there were several requests with the id of the job: their number, and how many of them
+# waited for its end.
+REQUEST_FIELDS = ("requests", "waiters")
 # Progress of a run that is stopped to be started elsewhere.
 PROGRESS_FIELDS = (
     "task",
@@ -88,7 +91,7 @@
     LogEvent(
         "job-ended",
         _H,
-        "a job was answered, or its client has disconnected",
+        "a job has ended, or its last client has disconnected",
         (
             "job",
             "queue",
@@ -103,8 +106,21 @@
             "declared_s",
             "offers",
             *EARLIER_OFFER_FIELDS,
+            *REQUEST_FIELDS,
         ),
     ),
+    LogEvent(
+        "request-joined",
+        _H,
+        "a request waits for an open job of the same id; `waiters` counts all that wait",
+        ("job", "queue", "waiters"),
+    ),
+    LogEvent(
+        "request-left",
+        _H,
+        "a client has disconnected, or its deadline has passed, while others wait for its job",
+        ("job", "queue", "reason", "waiters"),
+    ),
     LogEvent(
         "works-handed-over",
         _H,
--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -169,7 +169,10 @@
         return self._answer(end) if end is not None else None
 
     async def _run_while_connected(self, job: Job, receive: Receive) -> JobEnd | None:
-        """Run a job; return None when the client disconnects, which stops the job."""
+        """Run a job; return None when the client disconnects.
+
+        The job stops then, unless other requests wait for it.
+        """
         end: JobEnd | None = None
         async with anyio.create_task_group() as task_group:
 
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -147,11 +147,14 @@
     :param request: the job as submitted.
     :param received_at: monotonic time of receipt, in seconds.
     :param target_at: monotonic time until which the answer is on time, in seconds.
-    :param deadline_at: monotonic time until which the client waits, in seconds.
+    :param deadline_at: monotonic time until which a client waits, in seconds; the latest one if
+        several requests wait for the job.
     :param started: whether the start of any task was ordered.
     :param end: how the job ended; None while it is open.
     :param ended: set when the job has ended.
     :param work_by_step: work items by number of the step.
+    :param requests: number of requests that have waited for the job so far.
+    :param waiters: number of requests that wait for the job now.
     """
 
     job_id: str
@@ -164,6 +167,8 @@
     end: JobEnd | None = None
     ended: anyio.Event = field(default_factory=anyio.Event)
     work_by_step: dict[int, _HeldWork] = field(default_factory=dict)
+    requests: int = 0
+    waiters: int = 0
 
     def may_have_started(self) -> bool:
         """Return whether any task has started as far as this process can know.
@@ -221,28 +226,67 @@
     async def run(self, job: Job) -> JobEnd:
         """Run a job until it ends; cancelling this call stops the job.
 
-        A second request with the id of an open job waits for the end of that job.
+        A second request with the id of an open job waits for the end of that job, which goes on
+        as long as any request waits.
+
+        :returns: the end of the job, or an unknown one at the deadline of this request.
         """
-        known = self.job_by_id.get(job.job_id)
-        if known is not None:
-            await known.ended.wait()
-            assert known.end is not None
-            return known.end
-        self.job_by_id[job.job_id] = job
+        known = self.job_by_id.setdefault(job.job_id, job)
+        known.requests += 1
+        known.waiters += 1
+        reason = "client left"
         try:
-            self._submit_ready_steps(job)
+            if known is job:
+                self._submit_ready_steps(job)
+            else:
+                self._join(known, job.deadline_at)
             with anyio.move_on_after(max(0.0, job.deadline_at - current_time())):
-                await job.ended.wait()
-            if job.end is None:
-                self._end_at_deadline(job)
-        except BaseException:
-            if job.end is None:
-                self._end(job, JobEnd(Outcome.CANCELLED, "client left"))
-            raise
+                await known.ended.wait()
+            reason = "deadline"
         finally:
-            del self.job_by_id[job.job_id]
-        assert job.end is not None
-        return job.end
+            known.waiters -= 1
+            self._leave(known, reason)
+        return known.end or JobEnd(Outcome.UNKNOWN, reason)
+
+    def _join(self, job: Job, deadline_at: float) -> None:
+        """Let a further request wait for a job."""
+        log_event(
+            decisions,
+            logging.INFO,
+            "request-joined",
+            job=job.job_id,
+            queue=job.route.name,
+            waiters=job.waiters,
+        )
+        if deadline_at <= job.deadline_at:
+            return
+        job.deadline_at = deadline_at
+        for work in job.work_by_step.values():
+            if work.work_id in self._work_by_id and work.submitted_to[0]:
+                self._submit(work)
+
+    def _leave(self, job: Job, reason: str) -> None:
+        """End an open job for which no request waits any more, and forget it then.
+
+        :param reason: why the last request has stopped to wait.
+        """
+        if job.waiters:
+            if job.end is None:
+                log_event(
+                    decisions,
+                    logging.INFO,
+                    "request-left",
+                    job=job.job_id,
+                    queue=job.route.name,
+                    reason=reason,
+                    waiters=job.waiters,
+                )
+            return
+        if job.end is None and reason == "deadline":
+            self._end_at_deadline(job)
+        elif job.end is None:
+            self._end(job, JobEnd(Outcome.CANCELLED, reason))
+        del self.job_by_id[job.job_id]
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a job; return whether it was open."""
@@ -547,6 +591,9 @@
                 "handovers": sum(work.handovers for work in works),
                 "done": _list_completed_runs(job, now),
             }
+        requests: dict[str, object] = {}
+        if job.requests > 1:
+            requests = {"requests": job.requests, "waiters": job.waiters}
         log_event(
             decisions,
             logging.INFO,
@@ -564,6 +611,7 @@
             declared_s=round(declared_s, 3),
             offers=sum(work.offers for work in works),
             **earlier,
+            **requests,
         )
 
 
--- a/packages/dispatch/tests/test_events.py
+++ b/packages/dispatch/tests/test_events.py
@@ -17,6 +17,7 @@
     OWNER_FIELDS,
     PROGRESS_FIELDS,
     REFUSAL_FIELDS,
+    REQUEST_FIELDS,
     insert_events,
     render_events,
 )
@@ -29,6 +30,7 @@
 FIELDS_BY_VARIABLE = {
     ("owner.py", "earlier"): EARLIER_RUN_FIELDS,
     ("holder.py", "earlier"): EARLIER_OFFER_FIELDS,
+    ("holder.py", "requests"): REQUEST_FIELDS,
     ("owner.py", "inputs"): REFUSAL_FIELDS,
 }
 # Written by the log handler, not through a function with fields.
