Answer the submission of a deleted job with `failed`

Callers saw: a job that was submitted by one client and deleted by another was answered 200 `canceled`.

Cause: `JobApi` answered any cancelled job with the state that is for the answers to DELETE.

Change: requests that wait for a deleted job get 200 `failed`. After 502, 504 or a broken connection, the client would submit the deleted job again, and it would run. 429 and 503 promise that the job never runs, which isn't known once it was submitted to an owner. `failed` is true in that the job has ended and will not be completed, and ends the client's attempts.

Measured: the test failed before with `assert [(200, b'cancelled'), ...] == [(200, b'failed'), ...]`.

--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -189,10 +189,10 @@
     def _answer(self, end: JobEnd) -> Response:
         if end.outcome is Outcome.COMPLETE:
             return Response(200, self._formats.encode_state(JobState.COMPLETE))
-        if end.outcome is Outcome.FAILED:
+        if end.outcome in (Outcome.FAILED, Outcome.CANCELLED):
+            # A submission is answered by no other final state. After any other answer, the client
+            # would submit the deleted job again.
             return Response(200, self._formats.encode_state(JobState.FAILED))
-        if end.outcome is Outcome.CANCELLED:
-            return Response(200, self._formats.encode_state(JobState.CANCELLED))
         if end.outcome is Outcome.REFUSED:
             status = 429 if end.reason == TOO_LATE else 503
             return _retry_later(status, end.retry_after_s)
--- a/packages/dispatch/tests/test_job_requests.py
+++ b/packages/dispatch/tests/test_job_requests.py
@@ -193,6 +193,19 @@
         assert not api.holder.job_by_id
 
 
+# Guards against `canceled` as the answer to a POST, and against an answer on which the client
+# would submit the job again.
+async def test_every_client_of_a_deleted_job_is_told_that_it_failed() -> None:
+    api = Api()
+    async with anyio.create_task_group() as task_group:
+        requests = Requests(api, task_group)
+        clients = [await requests.send(), await requests.send()]
+        deletion = await requests.send(method="DELETE")
+        assert deletion.answer == (200, b"cancelled")
+    assert [client.answer for client in clients] == [(200, b"failed")] * 2
+    assert CancelWork(1) in api.sent
+
+
 # Guards against an end at the deadline of another client's request.
 @pytest.mark.parametrize("timeouts_s", [(0.05, MAX_WAIT_S), (MAX_WAIT_S, 0.05)])
 async def test_each_client_waits_until_its_own_deadline(timeouts_s: tuple[float, float]) -> None:
