Extend the deadline of a resubmitted work item

Callers saw: a client that sent its job again, and had a later deadline than its first request, was answered 504 when the first deadline had passed.

Cause: the owner kept the deadline of the first submission and abandoned the work item then.

Change: the owner takes the later of the two deadlines when a work item is submitted again. The holder submits it again when a request with a later deadline joins.

Measured: the test failed before with `assert ['job'] == []`.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -160,7 +160,7 @@
             the runs of the work item.
         """
         if work.key in self.work_by_key:
-            self._resubmit(self.work_by_key[work.key], placed_by_index)
+            self._resubmit(self.work_by_key[work.key], work.deadline_at, placed_by_index)
             return
         refusal = self._history.find_refusal(work.key)
         if refusal is not None:
@@ -280,8 +280,12 @@
                 self._effects.abandon(other)
                 self._drop_work(other, now, logs_ends=True)
 
-    def _resubmit(self, work: Work, placed_by_index: dict[int, str]) -> None:
-        """Update a resubmitted work item with the placements that its holder knows now."""
+    def _resubmit(self, work: Work, deadline_at: float, placed_by_index: dict[int, str]) -> None:
+        """Update a resubmitted work item with the placements that its holder knows now.
+
+        Its deadline is extended if another client with a later one waits for the job.
+        """
+        work.deadline_at = max(work.deadline_at, deadline_at)
         for index, server_id in placed_by_index.items():
             task = work.task_by_index[index]
             if task.state is TaskState.BLOCKED and not task.blocked_on:
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -105,11 +105,13 @@
         more_offers: bool = False,
         other_servers: bool = False,
         refused_for_load: bool = False,
+        work_id: int = 0,
     ) -> Work:
+        """Submit a work item; one with the number of an earlier one is submitted again."""
         self._next_work += 1
         work = Work(
             holder=holder,
-            work_id=self._next_work,
+            work_id=work_id or self._next_work,
             job_id=job_id,
             step=0,
             service=SERVICE,
