Show and cancel a job through its own queue only

Callers saw: GET and DELETE found a job by its id, whatever queue the path named.

Cause: open jobs were looked up by the id alone.

Change: the lookup takes the queue, too. Another queue gets 410, as for an unknown id.

Measured: both tests failed before: `assert (200, b'queued') == (410, b'{}')` and `assert (200, b'cancelled') == (410, b'{}')`.

--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -131,9 +131,9 @@
         if method == "POST":
             return await self._run_job(route, job_id, body, headers, receive, received_at)
         if method == "DELETE":
-            return self._cancel(job_id)
+            return self._cancel(route, job_id)
         if method == "GET":
-            return self._show(job_id)
+            return self._show(route, job_id)
         return Response(405)
 
     async def _run_job(
@@ -198,13 +198,13 @@
             return _retry_later(status, end.retry_after_s)
         return Response(504)
 
-    def _cancel(self, job_id: str) -> Response:
-        if self._holder.cancel(job_id):
+    def _cancel(self, route: Route, job_id: str) -> Response:
+        if self._holder.cancel(job_id, route.name):
             return Response(200, self._formats.encode_state(JobState.CANCELLED))
         return Response(410)
 
-    def _show(self, job_id: str) -> Response:
-        job = self._holder.job_by_id.get(job_id)
+    def _show(self, route: Route, job_id: str) -> Response:
+        job = self._holder.find(job_id, route.name)
         if job is None:
             return Response(410)
         state = JobState.RUNNING if job.started else JobState.QUEUED
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -288,9 +288,14 @@
             self._end(job, JobEnd(Outcome.CANCELLED, reason))
         del self.job_by_id[job.job_id]
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job; return whether it was open."""
+    def find(self, job_id: str, queue: str) -> Job | None:
+        """Return the open job of a queue with that id, or None."""
         job = self.job_by_id.get(job_id)
+        return job if job is not None and job.route.name == queue else None
+
+    def cancel(self, job_id: str, queue: str) -> bool:
+        """Cancel a job of a queue; return whether it was open."""
+        job = self.find(job_id, queue)
         if job is None:
             return False
         self._end(job, JobEnd(Outcome.CANCELLED, "cancelled"))
--- a/packages/dispatch/tests/test_job_requests.py
+++ b/packages/dispatch/tests/test_job_requests.py
@@ -254,3 +254,15 @@
         clients = [await requests.send(), await requests.send()]
         api.holder.handle_notification("o", WorkRefused(1, 1, "no server", 2))
     assert [client.status for client in clients] == [503, 503]
+
+
+# Guards against a job that is shown to, or cancelled by, the callers of another queue.
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+async def test_job_is_not_known_to_another_queue(method: str) -> None:
+    api = Api()
+    async with anyio.create_task_group() as task_group:
+        requests = Requests(api, task_group)
+        await requests.send()
+        assert (await requests.send(method=method, queue="b")).answer == (410, b"{}")
+        assert (await requests.send(method="GET")).answer == (200, b"queued")
+        api.complete()
