Refuse another job with the id of an open one

Ids are chosen by callers. A second job with the id of an open one, on another queue or with another body, was taken for a repeated request and was answered with the end of the first.

Cause: jobs were told apart by their id alone.

Change: a job has an identity, a hash of its queue and the bytes of its body; a client that sends a job again repeats both. A request joins an open job only if the identities are equal. Otherwise, it is refused at once with 503 and a Retry-After, as the tasks of both would have the same names at the servers. That is true: this job has not run, and is accepted as soon as the first one has ended. `job-ended` tells the reason, `id in use`.

--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -9,7 +9,14 @@
 from result import Err
 
 from redwingport_dispatch.clock import current_time
-from redwingport_dispatch.holder import Holder, Job, JobEnd, Outcome, response_target_s
+from redwingport_dispatch.holder import (
+    Holder,
+    Job,
+    JobEnd,
+    Outcome,
+    job_identity,
+    response_target_s,
+)
 from redwingport_dispatch.interfaces import Configuration, JobFormat, JobState, Route
 from redwingport_dispatch.routes import RouteTable
 from redwingport_dispatch.scheduling.admission import TOO_LATE
@@ -164,6 +171,7 @@
             # An answer after the client's timeout misses the target, however long the tasks take.
             target_at=received_at + min(response_target_s(route, request), client_timeout_s),
             deadline_at=received_at + client_timeout_s,
+            identity=job_identity(route.name, body),
         )
         end = await self._run_while_connected(job, receive)
         return self._answer(end) if end is not None else None
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -1,6 +1,7 @@
 """Holder: tracks the jobs of the clients that are connected to this process."""
 
 import enum
+import hashlib
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -13,7 +14,13 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
 from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, rank_shards
-from redwingport_dispatch.scheduling.admission import FITS_ON_NO_SERVER, NO_SERVER, TOO_LATE
+from redwingport_dispatch.scheduling.admission import (
+    FITS_ON_NO_SERVER,
+    ID_IN_USE,
+    NO_SERVER,
+    TOO_LATE,
+    retry_after_s,
+)
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
@@ -34,6 +41,8 @@
 # of the shard is suitable (few servers have the label, or the service has few servers) is offered
 # to all shards.
 MAX_OFFERS_UNDER_LOAD = 2
+# Number of bytes of the hash that tells apart jobs with the same id.
+IDENTITY_BYTES = 8
 
 OwnerMessage = SubmitWork | CancelWork | ReleaseWork
 
@@ -149,6 +158,8 @@
     :param target_at: monotonic time until which the answer is on time, in seconds.
     :param deadline_at: monotonic time until which a client waits, in seconds; the latest one if
         several requests wait for the job.
+    :param identity: hash that tells it from other jobs with the same id; see
+        :func:`job_identity`.
     :param started: whether the start of any task was ordered.
     :param end: how the job ended; None while it is open.
     :param ended: set when the job has ended.
@@ -163,6 +174,7 @@
     received_at: float
     target_at: float
     deadline_at: float
+    identity: str
     started: bool = False
     end: JobEnd | None = None
     ended: anyio.Event = field(default_factory=anyio.Event)
@@ -191,6 +203,19 @@
     return route.stretch * max(finish_s) + route.slack_s
 
 
+def job_identity(queue: str, body: bytes) -> str:
+    """Return a hash of the queue and the content of a job.
+
+    Ids are chosen by clients, so two jobs may have the same one. A job that is submitted again has
+    the same queue and body.
+
+    :param queue: name of the queue.
+    :param body: body of the submission.
+    """
+    text = queue.encode() + b"/" + body
+    return hashlib.blake2b(text, digest_size=IDENTITY_BYTES).hexdigest()
+
+
 class Holder:
     """Submit the steps of jobs to the owners of shards, and track the jobs until they end.
 
@@ -226,12 +251,18 @@
     async def run(self, job: Job) -> JobEnd:
         """Run a job until it ends; cancelling this call stops the job.
 
-        A second request with the id of an open job waits for the end of that job, which goes on
-        as long as any request waits.
+        A second request for an open job waits for the end of that job, which goes on as long as
+        any request waits. Another job with the id of an open one is refused: their tasks would
+        have the same names at the servers.
 
         :returns: the end of the job, or an unknown one at the deadline of this request.
         """
         known = self.job_by_id.setdefault(job.job_id, job)
+        if known.identity != job.identity:
+            wait_s = known.target_at - current_time()
+            end = JobEnd(Outcome.REFUSED, ID_IN_USE, retry_after_s(wait_s))
+            self._end(job, end)
+            return end
         known.requests += 1
         known.waiters += 1
         reason = "client left"
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
@@ -19,6 +19,8 @@
 TOO_LATE = "too late"
 FITS_ON_NO_SERVER = "fits on no server"
 NO_SERVER = "no server"
+# Another job with the same id is open. A later submission may be accepted.
+ID_IN_USE = "id in use"
 # An answer is late up to this many times its target and worthless after that, by the users' rules.
 USEFUL_TARGET_FACTOR = 3.0
 
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -60,7 +60,7 @@
         "", tuple(StepRequest(tasks, shape, (n - 1,) if n else ()) for n in range(steps))
     )
     now = anyio.current_time()
-    return Job("0" * 16, ROUTE, request, now, now + 0.2, now + timeout_s)
+    return Job("0" * 16, ROUTE, request, now, now + 0.2, now + timeout_s, "identity")
 
 
 def set_owners(holder: Holder, shard_owners: Sequence[ShardOwner]) -> None:
--- a/packages/dispatch/tests/test_job_requests.py
+++ b/packages/dispatch/tests/test_job_requests.py
@@ -74,6 +74,7 @@
 
     left: anyio.Event
     status: int = 0
+    headers: Sequence[tuple[bytes, bytes]] = ()
     body: bytes = b""
     is_over: bool = False
 
@@ -119,6 +120,7 @@
 
         async def send(message: MutableMapping[str, Any]) -> None:
             client.status = message.get("status", client.status)
+            client.headers = message.get("headers", client.headers)
             client.body += message.get("body", b"")
 
         headers = [
@@ -256,6 +258,35 @@
     assert [client.status for client in clients] == [503, 503]
 
 
+# Guards against an answer of another job: callers choose the ids, and two jobs may have the same.
+@pytest.mark.parametrize("other", [{"queue": "b"}, {"body": b"other"}])
+async def test_other_job_with_the_id_of_an_open_one_is_refused(other: dict[str, Any]) -> None:
+    api = Api()
+    async with anyio.create_task_group() as task_group:
+        requests = Requests(api, task_group)
+        first = await requests.send()
+        second = await requests.send(**other)
+        assert (second.status, second.body) == (503, b"{}")
+        assert b"retry-after" in dict(second.headers)
+        assert len(api.submissions()) == 1
+        api.complete()
+    assert first.answer == (200, b"complete")
+
+
+# Guards against a refusal that lasts: the id is free as soon as the first job has ended.
+async def test_other_job_with_the_id_of_an_ended_one_is_run() -> None:
+    api = Api()
+    async with anyio.create_task_group() as task_group:
+        requests = Requests(api, task_group)
+        await requests.send()
+        api.complete()
+        await anyio.wait_all_tasks_blocked()
+        second = await requests.send(queue="b")
+        assert not second.is_over
+        api.complete(work_id=2)
+    assert second.answer == (200, b"complete")
+
+
 # Guards against a job that is shown to, or cancelled by, the callers of another queue.
 @pytest.mark.parametrize("method", ["GET", "DELETE"])
 async def test_job_is_not_known_to_another_queue(method: str) -> None:
--- a/packages/testbed/src/redwingport_testbed/shards/simulation.py
+++ b/packages/testbed/src/redwingport_testbed/shards/simulation.py
@@ -179,7 +179,8 @@
         now = anyio.current_time()
         route, request = plan.kind.route(), plan.request()
         target_s = response_target_s(route, request)
-        job = Job(plan.job_id, route, request, now, now + target_s, now + DEADLINE_S)
+        deadline_at = now + DEADLINE_S
+        job = Job(plan.job_id, route, request, now, now + target_s, deadline_at, plan.job_id)
         names = [f"{plan.job_id}.0.0.{index}" for index in range(len(plan.works_s))]
         self.work_by_task.update(zip(names, plan.works_s, strict=True))
         end = await self.holder.run(job)
