Compare the identities of jobs with the same id at the owner

Callers saw: two jobs with the same id, submitted through different processes, took each other's place.

Cause: the owner took a work item of any other holder with the same id and step for an earlier submission of the same job, and displaced it. That a job had started, so that it must not be refused, was recorded by the id alone.

Change: `SubmitWork` carries the identity of the job. A work item is displaced only by the same job. Another job with the id of an open one is refused with the reason `id in use` and a Retry-After, and is offered to no other shard. If the later one was submitted to an earlier owner before and the other has started nothing, the other one is refused instead. One whose tasks have started before is abandoned (504), as a refusal would promise that it never ran. Jobs of the same holder still displace each other: a holder has one open job of an id, so the cancellation of the older one was lost.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -513,6 +513,7 @@
             other_servers=any(previous != shard for previous in work.previous_shards()),
             more_offers=self._has_more_offers(work, TOO_LATE),
             refused_for_load=work.refused_for_load,
+            identity=job.identity,
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
@@ -571,6 +572,8 @@
 
     def _has_more_offers(self, work: _HeldWork, reason: str) -> bool:
         """Return whether a work item is offered to another shard if this one refuses it."""
+        if reason == ID_IN_USE:
+            return False
         offers = len(self._shard_owners)
         if reason not in (FITS_ON_NO_SERVER, NO_SERVER):
             offers = min(offers, MAX_OFFERS_UNDER_LOAD)
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -199,6 +199,7 @@
             more_offers=message.more_offers,
             other_servers=message.other_servers,
             refused_for_load=message.refused_for_load,
+            identity=message.identity,
             task_by_index={index: Task(index, next_run) for index, next_run, _ in message.tasks},
         )
         placed_by_index = {index: server_id for index, _, server_id in message.tasks}
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -3,9 +3,12 @@
 from dataclasses import dataclass
 
 from redwingport_dispatch.interfaces import RunEnd
+from redwingport_dispatch.scheduling.admission import ID_IN_USE
 from redwingport_dispatch.scheduling.work import Work, WorkKey
 
 StepKey = tuple[str, int]
+# Id and identity of a job.
+JobKey = tuple[str, str]
 
 # Ended work items are kept for a holder that resubmits them after its link was broken.
 ENDED_WORK_TTL_S = 3.0
@@ -53,7 +56,7 @@
         self._refusal_by_key: dict[WorkKey, Refusal] = {}
         self._passed_on_by_step: dict[StepKey, Refusal] = {}
         self._unclaimed_by_task: dict[str, _UnclaimedEnd] = {}
-        self._started_until_by_job: dict[str, float] = {}
+        self._started_until_by_job: dict[JobKey, float] = {}
 
     def note_ended(self, work: Work, now: float) -> None:
         """Record a work item whose tasks are all done."""
@@ -69,7 +72,7 @@
         expires_at = work.deadline_at + ENDED_WORK_TTL_S
         refusal = Refusal(work, reason, retry_after_s, expires_at)
         self._refusal_by_key[work.key] = refusal
-        if work.more_offers:
+        if work.more_offers and reason != ID_IN_USE:
             self._passed_on_by_step[work.job_id, work.step] = refusal
 
     def find_refusal(self, key: WorkKey) -> Refusal | None:
@@ -85,7 +88,7 @@
         :param work: the work item of the later submission.
         :returns: the refusal; None if there is none, or if this shard has started the job since.
         """
-        if not work.more_offers or self.has_started(work.job_id):
+        if not work.more_offers or self.has_started(work.job_id, work.identity):
             return None
         return self._passed_on_by_step.get((work.job_id, work.step))
 
@@ -97,13 +100,17 @@
             if self._passed_on_by_step.get(step) is refusal:
                 del self._passed_on_by_step[step]
 
-    def note_started(self, job_id: str, now: float) -> None:
-        """Record that a run of a job has started."""
-        self._started_until_by_job[job_id] = now + STARTED_JOB_TTL_S
+    def note_started(self, job_id: str, identity: str, now: float) -> None:
+        """Record that a run of a job has started.
 
-    def has_started(self, job_id: str) -> bool:
-        """Return whether a run of a job has started recently."""
-        return job_id in self._started_until_by_job
+        :param identity: identity of the job; empty when unknown.
+        """
+        self._started_until_by_job[job_id, identity] = now + STARTED_JOB_TTL_S
+
+    def has_started(self, job_id: str, identity: str) -> bool:
+        """Return whether a run of a job has started recently, or may have."""
+        started = self._started_until_by_job
+        return (job_id, identity) in started or (job_id, "") in started
 
     def note_unclaimed_end(self, end: RunEnd, now: float) -> None:
         """Record the end of a run that belongs to no known work item."""
@@ -135,5 +142,5 @@
             if now < unclaimed.expires_at
         }
         self._started_until_by_job = {
-            job_id: until for job_id, until in self._started_until_by_job.items() if now < until
+            job: until for job, until in self._started_until_by_job.items() if now < until
         }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 )
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
+from redwingport_dispatch.scheduling import admission
 from redwingport_dispatch.scheduling.effects import Effects
 from redwingport_dispatch.scheduling.history import History
 from redwingport_dispatch.scheduling.openings import UpcomingSlots
@@ -176,7 +177,9 @@
             self.refuse(work, passed_on.reason, passed_on.retry_after_s, {})
             return
         work.late = now + work.shape.estimate_s > work.target_at
-        self._displace_older(work, now)
+        work.resumed = resumed
+        if not self._displace_older(work, now):
+            return
         self.work_by_key[work.key] = work
         silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
         settled_at = max(self._settled_at, now)
@@ -187,8 +190,7 @@
             work.handover_until = now + HANDOVER_REPORT_S
         else:
             work.handover_until = now if resumed else settled_at
-        work.resumed = resumed
-        work.ever_started = resumed or self._history.has_started(work.job_id)
+        work.ever_started = resumed or self._history.has_started(work.job_id, work.identity)
         may_run_already = resumed or now < self._settled_at
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), may_run_already)
@@ -271,14 +273,38 @@
             task.state = TaskState.BLOCKED
             task.blocked_on = placed_on
 
-    def _displace_older(self, work: Work, now: float) -> None:
-        """Cancel work items of the same step left by another holder or an earlier submission."""
-        for other in list(self.work_by_key.values()):
-            if other.job_id == work.job_id and other.step == work.step:
-                self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
-                # Its holder would submit it to the next owner, with runs that are over by then.
-                self._effects.abandon(other)
-                self._drop_work(other, now, logs_ends=True)
+    def _displace_older(self, work: Work, now: float) -> bool:
+        """Cancel work items of the same step left by another holder or an earlier submission.
+
+        :returns: whether the id of the job is free; the work item is refused if it is not.
+        """
+        namesakes = [other for other in self.work_by_key.values() if other.job_id == work.job_id]
+        for other in namesakes:
+            if other.identity == work.identity:
+                if other.step != work.step:
+                    continue
+            elif other.holder != work.holder:
+                # The tasks of the two jobs have the same names at the servers. If this one comes
+                # from an earlier owner, it may be the one that runs.
+                later = other if work.resumed and not other.ever_started else work
+                self._refuse_namesake(later, other if later is work else work, now)
+                if later is work:
+                    return False
+                continue
+            self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
+            # Its holder would submit it to the next owner, with runs that are over by then.
+            self._effects.abandon(other)
+            self._drop_work(other, now, logs_ends=True)
+        return True
+
+    def _refuse_namesake(self, work: Work, other: Work, now: float) -> None:
+        """Refuse a work item, or abandon it if it has started, as another job has its id."""
+        if self._history.has_started(work.job_id, work.identity):
+            self._effects.abandon(work)
+            self._forget_work(work)
+        else:
+            retry_after_s = admission.retry_after_s(other.target_at - now)
+            self.refuse(work, admission.ID_IN_USE, retry_after_s, {})
 
     def _resubmit(self, work: Work, deadline_at: float, placed_by_index: dict[int, str]) -> None:
         """Update a resubmitted work item with the placements that its holder knows now.
@@ -412,13 +438,14 @@
             ordered_at=now,
             expected_s=placement.expected_s,
             after=task.after,
+            identity=work.identity,
         )
         task.state = TaskState.ACTIVE
         task.next_run += 1
         if not work.ever_started:
             work.ever_started = True
             self.queue.reposition(work)
-        self._history.note_started(work.job_id, now)
+        self._history.note_started(work.job_id, work.identity, now)
         self.run_by_task[run.task_name] = run
         server.add_run(run)
         # A start order carries a lease; the last lease of an idle server may have ended long ago.
@@ -662,7 +689,7 @@
             accepted_at=now,
             orphan_until=now + ORPHAN_GRACE_S,
         )
-        self._history.note_started(job_id_of(task_name), now)
+        self._history.note_started(job_id_of(task_name), "", now)
         self.run_by_task[task_name] = run
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before this report.
@@ -688,6 +715,7 @@
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
         run.released_work = None
+        run.identity = work.identity
         self.server_by_id[run.server_id].set_run_shape(run, work.shape)
         self._effects.log_decision(
             "run-adopted",
@@ -700,7 +728,8 @@
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
         run = self.run_by_task.get(end.task)
-        self._history.note_started(job_id_of(end.task), now)
+        identity = run.identity if run is not None else ""
+        self._history.note_started(job_id_of(end.task), identity, now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
             waiting = self._find_waiting_task(end.task)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -114,6 +114,7 @@
     :param other_servers: whether a run of an earlier owner may be on a server that does not belong
         to this shard.
     :param refused_for_load: whether another shard has refused it for its load.
+    :param identity: hash that tells its job from others with the same id.
     :param safe_at: monotonic time from which no run of an earlier owner is expected, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
@@ -137,6 +138,7 @@
     more_offers: bool = False
     other_servers: bool = False
     refused_for_load: bool = False
+    identity: str = ""
     safe_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
@@ -204,6 +206,7 @@
         task may be started by another owner or for another holder.
     :param released_work: work item that it belonged to until its holder submitted that to another
         owner; None if there is none.
+    :param identity: identity of its job; empty for a run that no process has claimed.
     """
 
     task_name: str
@@ -224,6 +227,7 @@
     over: RunOver | None = None
     logs_end: bool = False
     released_work: Work | None = None
+    identity: str = ""
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -106,6 +106,7 @@
         other_servers: bool = False,
         refused_for_load: bool = False,
         work_id: int = 0,
+        identity: str = "identity",
     ) -> Work:
         """Submit a work item; one with the number of an earlier one is submitted again."""
         self._next_work += 1
@@ -125,6 +126,7 @@
             more_offers=more_offers,
             other_servers=other_servers,
             refused_for_load=refused_for_load,
+            identity=identity,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
         self.scheduler.submit(work, placed or {}, resumed, self.now, unheard_s)
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -18,7 +18,7 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
 from redwingport_dispatch.ownership.shards import even_layout, rank_shards
-from redwingport_dispatch.scheduling.admission import TOO_LATE
+from redwingport_dispatch.scheduling.admission import ID_IN_USE, TOO_LATE
 from redwingport_messages.dispatch import (
     CancelWork,
     ReleaseWork,
@@ -494,3 +494,19 @@
 
     job = make_job(tasks=1, steps=2)
     assert (await run_job(job, script)).outcome is Outcome.UNKNOWN
+
+
+# Guards against a job that runs at another shard beside one with the same id.
+async def test_job_whose_id_is_in_use_is_offered_to_no_other_shard() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        owners = [ShardOwner("o", 1), ShardOwner("p", 2)]
+        set_owners(holder, owners)
+        [message] = links.submissions()
+        assert message.identity == "identity"
+        owner = owners[message.shard]
+        refusal = WorkRefused(message.work_id, owner.term, ID_IN_USE, 2)
+        holder.handle_notification(owner.owner, refusal)
+        assert len(links.submissions()) == 1
+
+    end = await run_job(make_job(), script, owner="")
+    assert (end.outcome, end.reason, end.retry_after_s) == (Outcome.REFUSED, ID_IN_USE, 2)
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -85,6 +85,7 @@
         other_servers=False,
         more_offers=False,
         refused_for_load=False,
+        identity="identity",
     )
     owner.submit("holder", work)
     assert notifications == []
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -99,6 +99,7 @@
     :param more_offers: whether the sender offers the work item to another shard if this one
         refuses it.
     :param refused_for_load: whether another shard has refused the work item for its load.
+    :param identity: hash that tells the job from others with the same id.
     """
 
     work_id: Count
@@ -126,6 +127,7 @@
     other_servers: bool
     more_offers: bool
     refused_for_load: bool
+    identity: str
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
