Name the server of the last run of a task

Callers saw nothing of it yet: the next owner was told the number of one run of a task and the server of another, if the notification of the earlier one arrived last. It looked for the run on the wrong server.

Cause: the holder kept the highest number, but the server of the notification that arrived last.

Change: a notification of an earlier run changes neither.

Measured: the test failed before with `assert [(0, 1, ''), (1, 3, 's')] == [(0, 1, ''), (1, 3, 't')]`.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -424,8 +424,8 @@
             task = work.task_by_index[index]
             if event == "placed":
                 self._record_placement(work.job)
-                task.next_run = max(task.next_run, run_number + 1)
-                task.placed_on = server_id
+                if run_number >= task.next_run:
+                    task.next_run, task.placed_on = run_number + 1, server_id
                 if work.submitted_to[0] not in ("", sender):
                     # Reported by the previous owner; the current one must not start the task
                     # again.
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -510,3 +510,15 @@
 
     end = await run_job(make_job(), script, owner="")
     assert (end.outcome, end.reason, end.retry_after_s) == (Outcome.REFUSED, ID_IN_USE, 2)
+
+
+# Guards against an owner that takes a run for one of this job: of a late notification, it was told
+# the server, with the number of a later run.
+async def test_late_placement_does_not_replace_that_of_a_later_run() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        set_owners(holder, [ShardOwner("p", 2)])
+        holder.handle_notification("p", TaskNews([(1, 1, "placed", 2, "t")]))
+        holder.handle_notification("o", TaskNews([(1, 1, "placed", 1, "s")]))
+        assert links.submissions()[-1].tasks == [(0, 1, ""), (1, 3, "t")]
+
+    await run_job(make_job(), script)
