Complete a task only by runs of its own job

Cause: ends and runs were matched with tasks by the task's name, which holds nothing of the job but its id.

Change: runs ordered here, and their ends, keep the identity of their job, and are claimed by that job only. A run of which no identity is known, because an earlier owner has ordered it, is claimed if the holder was told its server and number. A server rejects a number that is not above an earlier one, so there is no other run with both. A task waits until any other run with its name is over, and runs again then. If the holder learns of the run later, it submits the work item again, which claims the run or its end at that time.

A job that is run again has cost time; one that is completed by the run of another has the wrong answer. Two runs at the same time remain impossible, as the task waits for runs that it does not claim, too.

A test of the scheduler asked that a queued task adopts a run of another owner that no holder has named. It is replaced by one that asks that the task waits for the end of that run and is not completed by it, and by one for a run that the holder names later. The harness now submits placed tasks as a holder does, with the number after that of the known run.

--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -200,7 +200,10 @@
             other_servers=message.other_servers,
             refused_for_load=message.refused_for_load,
             identity=message.identity,
-            task_by_index={index: Task(index, next_run) for index, next_run, _ in message.tasks},
+            task_by_index={
+                index: Task(index, next_run, last_run=(server_id, next_run - 1))
+                for index, next_run, server_id in message.tasks
+            },
         )
         placed_by_index = {index: server_id for index, _, server_id in message.tasks}
         unheard_s = message.unheard_ms / 1000
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -43,8 +43,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _UnclaimedEnd:
+class UnclaimedEnd:
+    """Represent the end of a run that belongs to no known work item.
+
+    :param end: the end.
+    :param server_id: id of the server that has reported it.
+    :param identity: identity of the job of the run; empty when unknown.
+    :param expires_at: monotonic time from which it can no longer be claimed, in seconds.
+    """
+
     end: RunEnd
+    server_id: str
+    identity: str
     expires_at: float
 
 
@@ -55,7 +65,7 @@
         self._ended_by_key: dict[WorkKey, _EndedWork] = {}
         self._refusal_by_key: dict[WorkKey, Refusal] = {}
         self._passed_on_by_step: dict[StepKey, Refusal] = {}
-        self._unclaimed_by_task: dict[str, _UnclaimedEnd] = {}
+        self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
         self._started_until_by_job: dict[JobKey, float] = {}
 
     def note_ended(self, work: Work, now: float) -> None:
@@ -112,14 +122,21 @@
         started = self._started_until_by_job
         return (job_id, identity) in started or (job_id, "") in started
 
-    def note_unclaimed_end(self, end: RunEnd, now: float) -> None:
-        """Record the end of a run that belongs to no known work item."""
-        self._unclaimed_by_task[end.task] = _UnclaimedEnd(end, now + UNCLAIMED_END_TTL_S)
+    def note_unclaimed_end(self, end: RunEnd, server_id: str, identity: str, now: float) -> None:
+        """Record the end of a run that belongs to no known work item.
+
+        :param identity: identity of the job of the run; empty when unknown.
+        """
+        expires_at = now + UNCLAIMED_END_TTL_S
+        self._unclaimed_by_task[end.task] = UnclaimedEnd(end, server_id, identity, expires_at)
+
+    def find_unclaimed_end(self, task_name: str) -> UnclaimedEnd | None:
+        """Return the end of a run of a task that belonged to no known work item, or None."""
+        return self._unclaimed_by_task.get(task_name)
 
-    def claim_end(self, task_name: str) -> RunEnd | None:
-        """Remove and return the end of a run that was reported before its work item arrived."""
-        unclaimed = self._unclaimed_by_task.pop(task_name, None)
-        return unclaimed.end if unclaimed is not None else None
+    def forget_unclaimed_end(self, task_name: str) -> None:
+        """Remove the end of a run that a work item has claimed."""
+        self._unclaimed_by_task.pop(task_name, None)
 
     def prune(self, now: float) -> None:
         """Remove expired entries."""
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -15,7 +15,7 @@
 from redwingport_dispatch.ownership.leases import max_local_duration_s
 from redwingport_dispatch.scheduling import admission
 from redwingport_dispatch.scheduling.effects import Effects
-from redwingport_dispatch.scheduling.history import History
+from redwingport_dispatch.scheduling.history import History, UnclaimedEnd
 from redwingport_dispatch.scheduling.openings import UpcomingSlots
 from redwingport_dispatch.scheduling.placement import Placement, choose_server
 from redwingport_dispatch.scheduling.queue import WorkQueue
@@ -161,7 +161,7 @@
             the runs of the work item.
         """
         if work.key in self.work_by_key:
-            self._resubmit(self.work_by_key[work.key], work.deadline_at, placed_by_index)
+            self._resubmit(self.work_by_key[work.key], work, placed_by_index, now)
             return
         refusal = self._history.find_refusal(work.key)
         if refusal is not None:
@@ -252,27 +252,53 @@
 
     def _admit_task(self, work: Work, task: Task, placed_on: str, may_run_already: bool) -> None:
         name = work.task_name(task.index)
-        unclaimed = self._history.claim_end(name)
+        unclaimed = self._history.find_unclaimed_end(name)
         if unclaimed is not None:
-            task.next_run = max(task.next_run, unclaimed.number + 1)
-            task.after = RunOver.END_REPORTED
-            if unclaimed.kind is EndKind.DONE:
-                task.state = TaskState.DONE
-                self._effects.report_done(work, task, unclaimed.number, placed_on)
+            task.next_run = max(task.next_run, unclaimed.end.number + 1)
+            if self._claim_end(work, task, unclaimed):
                 return
         run = self.run_by_task.get(name)
         if run is not None:
-            if run.work is None and run.state is RunState.RUNNING:
+            if self._may_adopt(run, work, task):
                 self._adopt_run(run, work, task)
             else:
-                task.next_run = max(task.next_run, run.number + 1)
-                task.earlier_run = run
-                task.state = TaskState.BLOCKED
-                task.blocked_on = run.server_id
+                self._await_run(run, work, task)
         elif may_run_already:
             task.state = TaskState.BLOCKED
             task.blocked_on = placed_on
 
+    def _claim_end(self, work: Work, task: Task, unclaimed: UnclaimedEnd) -> bool:
+        """Apply an end that was reported before its work item arrived.
+
+        :returns: whether it has completed the task.
+        """
+        end = unclaimed.end
+        if not work.owns_run(task, unclaimed.server_id, end.number, unclaimed.identity):
+            return False
+        self._history.forget_unclaimed_end(end.task)
+        task.after = RunOver.END_REPORTED
+        if end.kind is not EndKind.DONE:
+            return False
+        task.state = TaskState.DONE
+        self._effects.report_done(work, task, end.number, unclaimed.server_id)
+        return True
+
+    @staticmethod
+    def _may_adopt(run: Run, work: Work, task: Task) -> bool:
+        return (
+            run.work is None
+            and run.state is RunState.RUNNING
+            and work.owns_run(task, run.server_id, run.number, run.identity)
+        )
+
+    def _await_run(self, run: Run, work: Work, task: Task) -> None:
+        """Let a task wait for the end of a run that does not belong to its work item."""
+        task.next_run = max(task.next_run, run.number + 1)
+        task.earlier_run = run
+        task.state = TaskState.BLOCKED
+        task.blocked_on = run.server_id
+        self._blocked.add(work)
+
     def _displace_older(self, work: Work, now: float) -> bool:
         """Cancel work items of the same step left by another holder or an earlier submission.
 
@@ -306,17 +332,39 @@
             retry_after_s = admission.retry_after_s(other.target_at - now)
             self.refuse(work, admission.ID_IN_USE, retry_after_s, {})
 
-    def _resubmit(self, work: Work, deadline_at: float, placed_by_index: dict[int, str]) -> None:
+    def _resubmit(
+        self, work: Work, again: Work, placed_by_index: dict[int, str], now: float
+    ) -> None:
         """Update a resubmitted work item with the placements that its holder knows now.
 
         Its deadline is extended if another client with a later one waits for the job.
         """
-        work.deadline_at = max(work.deadline_at, deadline_at)
-        for index, server_id in placed_by_index.items():
-            task = work.task_by_index[index]
-            if task.state is TaskState.BLOCKED and not task.blocked_on:
-                task.blocked_on = server_id
+        work.deadline_at = max(work.deadline_at, again.deadline_at)
         self._report_done_again(work)
+        for index, told in again.task_by_index.items():
+            task = work.task_by_index.get(index)
+            if task is None or task.state not in (TaskState.QUEUED, TaskState.BLOCKED):
+                continue
+            if not task.blocked_on:
+                task.blocked_on = placed_by_index.get(index, "")
+            if told.next_run > task.last_run[1] + 1:
+                task.last_run = told.last_run
+                task.next_run = max(task.next_run, told.next_run)
+                self._claim_told_run(work, task)
+        if not work.queued_tasks():
+            self.queue.remove(work)
+        if work.is_done():
+            self._finish(work, now)
+
+    def _claim_told_run(self, work: Work, task: Task) -> None:
+        """Claim the run that the holder has named, if a server has reported it or its end."""
+        name = work.task_name(task.index)
+        run = self.run_by_task.get(name)
+        unclaimed = self._history.find_unclaimed_end(name)
+        if run is not None and self._may_adopt(run, work, task):
+            self._adopt_run(run, work, task)
+        elif unclaimed is not None:
+            self._claim_end(work, task, unclaimed)
 
     def _report_done_again(self, work: Work) -> None:
         for task in work.task_by_index.values():
@@ -441,6 +489,7 @@
             identity=work.identity,
         )
         task.state = TaskState.ACTIVE
+        task.last_run = (run.server_id, run.number)
         task.next_run += 1
         if not work.ever_started:
             work.ever_started = True
@@ -697,7 +746,11 @@
         waiting = self._find_waiting_task(task_name)
         if waiting is not None:
             work, task = waiting
-            self._adopt_run(run, work, task)
+            if self._may_adopt(run, work, task):
+                self._adopt_run(run, work, task)
+            else:
+                work.ever_started = True
+                self._await_run(run, work, task)
             if not work.queued_tasks():
                 self.queue.remove(work)
 
@@ -712,6 +765,7 @@
     def _adopt_run(self, run: Run, work: Work, task: Task) -> None:
         task.next_run = max(task.next_run, run.number + 1)
         task.state = TaskState.ACTIVE
+        task.last_run = (run.server_id, run.number)
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
         run.released_work = None
@@ -736,7 +790,7 @@
             if run is None and waiting is not None:
                 self._handle_end_of_earlier_run(*waiting, server, end, now)
             else:
-                self._history.note_unclaimed_end(end, now)
+                self._history.note_unclaimed_end(end, server.listing.server_id, "", now)
             return
         self._forget_run(run, RunOver.END_REPORTED)
         work = run.work
@@ -748,7 +802,7 @@
                 released = run.released_work
                 task = released.task_by_index[run.index]
                 self._effects.report_done(released, task, run.number, run.server_id)
-            self._history.note_unclaimed_end(end, now)
+            self._history.note_unclaimed_end(end, run.server_id, run.identity, now)
             return
         task = work.task_by_index[run.index]
         if end.kind is EndKind.DONE:
@@ -770,14 +824,22 @@
     def _handle_end_of_earlier_run(
         self, work: Work, task: Task, server: ServerState, end: RunEnd, now: float
     ) -> None:
-        """Handle the end of a run of a waiting task that an earlier owner ordered."""
+        """Handle the end of a run that has the name of a waiting task and is not known here.
+
+        It completes the task only if the holder was told of the run by an earlier owner, or if
+        this owner has ordered it and presumed it over.
+        """
         task.next_run = max(task.next_run, end.number + 1)
+        server_id = server.listing.server_id
+        if not work.owns_run(task, server_id, end.number, ""):
+            self._history.note_unclaimed_end(end, server_id, "", now)
+            return
         if end.kind is not EndKind.DONE:
             return
         task.state = TaskState.DONE
         if not work.queued_tasks():
             self.queue.remove(work)
-        self._effects.report_done(work, task, end.number, server.listing.server_id)
+        self._effects.report_done(work, task, end.number, server_id)
         if work.is_done():
             self._finish(work, now)
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -82,6 +82,7 @@
     :param blocked_on: id of the server whose report decides whether an earlier run is still
         running; empty when the reports of all servers are needed.
     :param earlier_run: run of an earlier submission, for which the task waits.
+    :param last_run: server and number of its last known run; empty and 0 for none.
     :param after: evidence that its last run is over; for the log.
     """
 
@@ -91,6 +92,7 @@
     failures: int = 0
     blocked_on: str = ""
     earlier_run: "Run | None" = None
+    last_run: tuple[str, int] = ("", 0)
     after: RunOver = RunOver.NONE_KNOWN
 
 
@@ -165,6 +167,18 @@
             return None
         return self.task_by_index.get(int(index))
 
+    def owns_run(self, task: Task, server_id: str, number: int, identity: str) -> bool:
+        """Return whether a run with the name of a task belongs to the same job.
+
+        Tasks of another job with the same id have the same names. Numbers of runs rise at a
+        server, so a known run there is no other one.
+
+        :param identity: identity of the job of the run; empty when unknown.
+        """
+        if identity:
+            return identity == self.identity
+        return task.last_run == (server_id, number)
+
     def queued_tasks(self) -> list[Task]:
         """Return the tasks that wait for a server."""
         return [task for task in self.task_by_index.values() if task.state is TaskState.QUEUED]
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -129,6 +129,10 @@
             identity=identity,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
+        for index, server_id in (placed or {}).items():
+            if server_id:
+                # The holder was told of the first run.
+                work.task_by_index[index] = Task(index, 2, last_run=(server_id, 1))
         self.scheduler.submit(work, placed or {}, resumed, self.now, unheard_s)
         return work
 
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -100,8 +100,9 @@
 
 
 # Guards against a second run of a task that another owner has started: the run was found on a
-# server while the task was still queued here, and the task was started all the same.
-def test_queued_task_that_another_owner_has_started_is_adopted() -> None:
+# server while the task was still queued here, and the task was started all the same. Guards also
+# against a task that is completed by it: it may be a run of another job with the same id.
+def test_queued_task_that_another_owner_has_started_waits_for_the_end_of_that_run() -> None:
     harness = SchedulerHarness(servers=2, cpu_millis=7000)
     harness.scheduler.server_by_id["s1"].acquired = False
     harness.submit("first")
@@ -110,6 +111,27 @@
     harness.scheduler.handle_report("s1", report, harness.now, [], harness.now)
     harness.accept_all()
     harness.end(harness.effects.started[0])
+    assert [run.task_name for run in harness.effects.started] == ["first.0.0.0", "job.0.0.0"]
+    harness.end(harness.scheduler.run_by_task["job.0.0.1"])
+    assert harness.effects.done == [("first", 0)]
+    assert [run.task_name for run in harness.effects.started[2:]] == ["job.0.0.1"]
+    assert harness.effects.started[2].number == 2
+
+
+# Guards against a second run of a task that another owner has started, of which the holder is told
+# after it has submitted its work item here.
+def test_queued_task_whose_run_the_holder_names_later_is_adopted() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    harness.scheduler.server_by_id["s1"].acquired = False
+    harness.submit("first")
+    work = harness.submit("job", tasks=2, resumed=True, unheard_s=0.8)
+    report = ServerReport(1, runs=(RunListing("job.0.0.1", 1, 10),))
+    harness.scheduler.handle_report("s1", report, harness.now, [], harness.now)
+    assert harness.effects.events.count("run-adopted") == 0
+    harness.submit("job", tasks=2, resumed=True, placed={1: "s1"}, work_id=work.work_id)
+    assert harness.effects.events.count("run-adopted") == 1
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
     harness.end(harness.scheduler.run_by_task["job.0.0.1"])
     assert [run.task_name for run in harness.effects.started] == ["first.0.0.0", "job.0.0.0"]
     assert harness.effects.done == [("first", 0), ("job", 1)]
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -1,8 +1,9 @@
 """Work items that are submitted again, and submissions that share the id of a job."""
 
+import pytest
 from scheduling_fakes import SchedulerHarness
 
-from redwingport_dispatch.interfaces import EndKind
+from redwingport_dispatch.interfaces import EndKind, RunEnd, RunListing, ServerReport
 from redwingport_dispatch.scheduling.admission import ID_IN_USE
 
 
@@ -84,3 +85,97 @@
     assert harness.effects.stopped == [run]
     harness.end(run, EndKind.STOPPED)
     assert [run.identity for run in harness.effects.started] == ["first", "second"]
+
+
+def drop_and_end(harness: SchedulerHarness, identity: str) -> None:
+    """Run a job whose client leaves just before its task is done."""
+    work = harness.submit("job", identity=identity, holder="one")
+    harness.accept_all()
+    harness.scheduler.cancel(work.key, harness.now)
+    harness.end(harness.effects.started[-1])
+
+
+# Guards against a job that is shown as complete by the late end of another one with its id.
+def test_job_is_not_completed_by_the_end_of_another_one_with_its_id() -> None:
+    harness = SchedulerHarness()
+    drop_and_end(harness, "first")
+    harness.submit("job", identity="second", holder="two")
+    assert harness.effects.done == []
+    assert [run.number for run in harness.effects.started] == [1, 2]
+    harness.accept_all()
+    harness.end(harness.effects.started[1])
+    assert harness.effects.done == [("job", 0)]
+
+
+# Guards against tasks that run again although the client has only sent the same job again.
+def test_job_that_is_sent_again_is_completed_by_the_end_of_its_first_run() -> None:
+    harness = SchedulerHarness()
+    drop_and_end(harness, "first")
+    harness.submit("job", identity="first", holder="two")
+    assert harness.effects.done == [("job", 0)]
+
+
+# Guards against a job that is shown as complete by the end of a run which the holder was not told
+# of: it may have been ordered for another job with the same id.
+@pytest.mark.parametrize(("server", "number"), [("s1", 1), ("s0", 2)])
+@pytest.mark.parametrize("early", [False, True])
+def test_resumed_task_is_not_completed_by_an_unknown_run(
+    server: str, number: int, early: bool
+) -> None:
+    harness = SchedulerHarness(servers=2)
+    for server_id in ("s0", "s1"):
+        harness.scheduler.server_by_id[server_id].acquired = False
+    end = RunEnd(1, "job.0.0.0", number, EndKind.DONE)
+    if early:
+        harness.report(server, [end])
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.8, deadline_s=9)
+    if not early:
+        harness.report(server, [end])
+    assert harness.effects.done == []
+    harness.report("s0")
+    [run] = harness.effects.started
+    assert run.number > number
+
+
+# Guards against a job that is shown as complete by the run of another one with its id.
+def test_resumed_task_does_not_adopt_an_unknown_run() -> None:
+    harness = SchedulerHarness(servers=2)
+    report = ServerReport(1, runs=(RunListing("job.0.0.0", 1, 10),))
+    harness.scheduler.handle_report("s1", report, harness.now, [], harness.now)
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.8, deadline_s=9)
+    assert "run-adopted" not in harness.effects.events
+    harness.advance(0.3)
+    [run] = harness.effects.stopped
+    assert not harness.effects.started
+    harness.end(run)
+    assert harness.effects.done == []
+    assert [run.number for run in harness.effects.started] == [2]
+
+
+# Guards against a second run of a task whose end was reported before the holder was told of it.
+def test_end_of_a_run_that_the_holder_names_later_completes_its_task() -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.scheduler.server_by_id["s0"].acquired = False
+    work = harness.submit("job", resumed=True, deadline_s=9)
+    harness.report("s0", [RunEnd(1, "job.0.0.0", 1, EndKind.DONE)])
+    assert harness.effects.done == []
+    harness.submit("job", resumed=True, placed={0: "s0"}, work_id=work.work_id)
+    assert harness.effects.done == [("job", 0)]
+    assert not harness.scheduler.work_by_key
+    harness.advance(2)
+    assert not harness.effects.started
+
+
+# Guards against a second run of a task whose run was presumed over and has completed it.
+def test_late_end_of_a_run_that_was_presumed_over_completes_its_task() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    harness.submit("job", deadline_s=9)
+    harness.accept_all()
+    [run] = harness.effects.started
+    harness.scheduler.handle_unreachable("s0")
+    harness.advance(2)
+    assert "run-presumed-over" in harness.effects.events
+    assert len(harness.effects.started) == 1
+    harness.report("s0", [RunEnd(1, run.task_name, run.number, EndKind.DONE)])
+    assert harness.effects.done == [("job", 0)]
+    assert len(harness.effects.started) == 1
