Ignore events of tasks that a work item does not have

Callers saw: nothing so far; a process that gets an event with the index of a task that the work item doesn't have raised `KeyError` while it handled the message.

Cause: the holder looked the task up without a check. Other messages that don't fit are ignored there.

Change: the event is ignored.

Measured: the test failed before with `KeyError: 2`.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -419,9 +419,9 @@
             return
         for work_id, index, event, run_number, server_id in message.events:
             work = self._work_by_id.get(work_id)
-            if work is None:
+            task = work.task_by_index.get(index) if work is not None else None
+            if work is None or task is None:
                 continue
-            task = work.task_by_index[index]
             if event == "placed":
                 self._record_placement(work.job)
                 if run_number >= task.next_run:
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -522,3 +522,13 @@
         assert links.submissions()[-1].tasks == [(0, 1, ""), (1, 3, "t")]
 
     await run_job(make_job(), script)
+
+
+# Guards against a process that ends because of a message of another one.
+async def test_event_of_an_unknown_task_is_ignored() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        holder.handle_notification(
+            "o", TaskNews([(1, 2, "done", 1, "s"), (1, 0, "done", 1, "s"), (1, 1, "done", 1, "s")])
+        )
+
+    assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
