Keep a job whose failed task is done

Callers saw: a job could be answered `failed` although all of its tasks can be done: an earlier owner reported, late, that its runs of a task had failed, and another owner had completed the task in the meantime.

Cause: the holder ended the job on any report of a failure.

Change: the failure of a task that is done is ignored.

Measured: the test failed before with `<Outcome.FAILED> is <Outcome.COMPLETE>`.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -437,7 +437,7 @@
                     task.done, task.done_run, task.done_at = True, run_number, current_time()
                     task.placed_on = server_id or task.placed_on
                 self._finish_work(work)
-            else:
+            elif not task.done:
                 reason = f"task {index} failed {work.job.route.attempts} times"
                 self._end(work.job, JobEnd(Outcome.FAILED, reason))
 
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -532,3 +532,15 @@
         )
 
     assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
+
+
+# Guards against a job that is shown as failed because of a task that is done: an earlier owner has
+# reported the failure of its own runs late.
+async def test_failure_of_a_task_that_is_done_is_ignored() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        set_owners(holder, [ShardOwner("p", 2)])
+        holder.handle_notification("p", TaskNews([(1, 0, "done", 4, "s")]))
+        holder.handle_notification("o", TaskNews([(1, 0, "failed", 3, "s")]))
+        holder.handle_notification("p", TaskNews([(1, 1, "done", 1, "s")]))
+
+    assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
