Forget the steps of a job that is refused while they are submitted

Callers saw: nothing; the memory of the process grew, and each change of an owner took longer.

Cause: an owner in the same process answers within the call that submits a work item. If it refused the first of several steps that are ready at once, the job ended, and the holder created the work items of the others all the same. Nothing removed them any more.

Change: no further step is submitted once the job has ended.

Measured: the test failed before: `works-moved` counted a work item that belongs to no open job.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -461,6 +461,9 @@
 
     def _submit_ready_steps(self, job: Job) -> None:
         for number, step in enumerate(job.request.steps):
+            if job.end is not None:
+                # An owner in this process has refused one of the steps.
+                return
             if number in job.work_by_step:
                 continue
             earlier = [job.work_by_step.get(other) for other in step.after]
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -544,3 +544,25 @@
         holder.handle_notification("p", TaskNews([(1, 1, "done", 1, "s")]))
 
     assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
+
+
+# Guards against work items that are kept for good: an owner in this process refuses the first step
+# of a job while the holder submits it.
+async def test_steps_of_a_job_refused_while_they_are_submitted_are_forgotten(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    def send(owner: str, message: OwnerMessage) -> bool:
+        if isinstance(message, SubmitWork):
+            holder.handle_notification("me", WorkRefused(message.work_id, 1, TOO_LATE, 1))
+        return True
+
+    holder = Holder("me", send, lambda peer: 0.0, Metrics())
+    set_owners(holder, [ShardOwner("me", 1)])
+    job = make_job()
+    step = job.request.steps[0]
+    job.request = JobRequest("", (step, step))
+    assert (await holder.run(job)).outcome is Outcome.REFUSED
+    set_owners(holder, [ShardOwner("me", 1), ShardOwner("me", 1)])
+    assert logged(caplog, "works-moved") == []
