Keep the mark of a passed-on job for each of its requests

Callers saw: a task could run twice at a time, if a job was requested through two processes while its first shard had no capacity.

Cause: a shard that refuses a work item and passes it on to the next one kept a single mark for the step of the job. The mark of a second request replaced that of the first, and was removed when the second had ended. A third request was then started here, while the next shard still ran the first.

Change: the marks of all requests are kept, and the job is passed on until the last one has ended or expired.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -64,7 +64,7 @@
     def __init__(self) -> None:
         self._ended_by_key: dict[WorkKey, _EndedWork] = {}
         self._refusal_by_key: dict[WorkKey, Refusal] = {}
-        self._passed_on_by_step: dict[StepKey, Refusal] = {}
+        self._passed_on_by_step: dict[StepKey, dict[WorkKey, Refusal]] = {}
         self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
         self._started_until_by_job: dict[JobKey, float] = {}
 
@@ -83,7 +83,8 @@
         refusal = Refusal(work, reason, retry_after_s, expires_at)
         self._refusal_by_key[work.key] = refusal
         if work.more_offers and reason != ID_IN_USE:
-            self._passed_on_by_step[work.job_id, work.step] = refusal
+            step = (work.job_id, work.step)
+            self._passed_on_by_step.setdefault(step, {})[work.key] = refusal
 
     def find_refusal(self, key: WorkKey) -> Refusal | None:
         """Return the refusal of a work item, or None if it was not refused."""
@@ -100,15 +101,18 @@
         """
         if not work.more_offers or self.has_started(work.job_id, work.identity):
             return None
-        return self._passed_on_by_step.get((work.job_id, work.step))
+        refusal_by_key = self._passed_on_by_step.get((work.job_id, work.step), {})
+        return next(iter(refusal_by_key.values()), None)
 
     def forget_passed_on(self, key: WorkKey) -> None:
         """Forget that a refused work item was offered to another shard; its job has ended."""
         refusal = self._refusal_by_key.get(key)
         if refusal is not None:
             step = (refusal.work.job_id, refusal.work.step)
-            if self._passed_on_by_step.get(step) is refusal:
-                del self._passed_on_by_step[step]
+            refusal_by_key = self._passed_on_by_step.get(step, {})
+            refusal_by_key.pop(key, None)
+            if not refusal_by_key:
+                self._passed_on_by_step.pop(step, None)
 
     def note_started(self, job_id: str, identity: str, now: float) -> None:
         """Record that a run of a job has started.
@@ -149,9 +153,15 @@
             if now < refusal.expires_at
         }
         self._passed_on_by_step = {
-            step: refusal
-            for step, refusal in self._passed_on_by_step.items()
-            if now < refusal.expires_at
+            step: valid_by_key
+            for step, refusal_by_key in self._passed_on_by_step.items()
+            if (
+                valid_by_key := {
+                    key: refusal
+                    for key, refusal in refusal_by_key.items()
+                    if now < refusal.expires_at
+                }
+            )
         }
         self._unclaimed_by_task = {
             task: unclaimed
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -179,3 +179,22 @@
     harness.report("s0", [RunEnd(1, run.task_name, run.number, EndKind.DONE)])
     assert harness.effects.done == [("job", 0)]
     assert len(harness.effects.started) == 1
+
+
+# Guards against a second run of a job that another shard runs: the mark that it was passed on was
+# lost when a second request of its id, which was passed on as well, had ended.
+def test_job_is_passed_on_until_all_of_its_requests_that_were_have_ended() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    harness.submit("other", estimate_s=2, deadline_s=9, target_s=9)
+    first = harness.submit("job", target_s=0.5, more_offers=True)
+    second = harness.submit("job", holder="two", more_offers=True)
+    assert len(harness.effects.refused) == 2
+    harness.scheduler.cancel(second.key, harness.now)
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
+    third = harness.submit("job", holder="three", more_offers=True)
+    assert len(harness.effects.refused) == 3
+    harness.scheduler.cancel(first.key, harness.now)
+    harness.scheduler.cancel(third.key, harness.now)
+    harness.submit("job", holder="four", more_offers=True)
+    assert len(harness.effects.started) == 2
