Check the answers of simulated clients against their jobs

The simulated cluster checked that no task has two runs at a time and that no refused job has started, but not what clients are told, and no two requests had the same id at a time.

Change: `load_contended` sends, for each job, some more requests with its id while the first may still wait: the same job again, a job of another queue, a job with another content; or it closes one of their connections. An answer of 200 is true if its body is `complete` and every task of that client's own job has ended as done by then. This check applies to all tests of the cluster. With requests from one failure domain for an id, tasks must not run twice either.

--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -61,7 +61,8 @@
 ANSWER_DELAY_S = 0.0004
 LONG_FACTOR = 1.6 / 0.9
 ROUTE = Route("queue", "host", "/q/", SERVICE, 0, 3, 1.6, 0.06, 0.0)
-CONFIGURATION = Configuration(1, (ROUTE,), 1 << 20, b"")
+OTHER_ROUTE = replace(ROUTE, name="other", host="other-host")
+CONFIGURATION = Configuration(1, (ROUTE, OTHER_ROUTE), 1 << 20, b"")
 RECORDED_EVENTS = 200_000
 
 
@@ -192,7 +193,7 @@
 
 
 class SimulatedFormat:
-    """Job format whose bodies are names of kinds of jobs; see :class:`JobFormat`.
+    """Job format whose bodies begin with the name of a kind of job; see :class:`JobFormat`.
 
     :param timeout_s: time that a client waits for an answer, in seconds.
     """
@@ -202,9 +203,10 @@
 
     def decode_job(self, body: bytes) -> Result[JobRequest, str]:
         """Return the job of the kind named in a body; see :class:`JobFormat`."""
-        kind = next(kind for kind in KINDS if kind.name == body.decode())
+        spec = body.decode()
+        kind = _kind_of(spec)
         shape = TaskShape(TASK_CPU_MILLIS, 64, 0, kind.estimate_s)
-        return Ok(JobRequest(kind.name, (StepRequest(kind.tasks, shape),)))
+        return Ok(JobRequest(spec, (StepRequest(kind.tasks, shape),)))
 
     def encode_state(self, state: JobState) -> bytes:
         """Return a state as text; see :class:`JobFormat`."""
@@ -281,6 +283,8 @@
     :param number: number of the submission, from 1.
     :param status: HTTP status of the answer; 0 without one.
     :param disconnected: set when the client closes the connection.
+    :param route: queue to which it was sent.
+    :param variant: distinguishes jobs of one kind and queue with the same id.
     """
 
     job_id: str
@@ -291,6 +295,15 @@
     number: int
     status: int = 0
     disconnected: asyncio.Future[None] | None = None
+    route: Route = ROUTE
+    variant: str = ""
+
+    @property
+    def spec(self) -> str:
+        """Return the body, which names the queue, too: the texts of any two jobs differ."""
+        if self.route is ROUTE and not self.variant:
+            return self.kind.name
+        return f"{self.kind.name} {self.route.name} {self.variant}"
 
 
 class Cluster:
@@ -320,6 +333,7 @@
         self.entries: list[Entry] = []
         self.server_by_id: dict[str, ModelServer] = {}
         self.attempts: list[Attempt] = []
+        self.wrong_answers: list[str] = []
         self.events: list[tuple[float, str, str, dict[str, object]]] = []
         self._server_by_address: dict[str, ModelServer] = {}
         self._listeners: dict[str, Listener] = {}
@@ -606,7 +620,7 @@
         self.world.cut(paths, duration_s)
 
     def _duration_of(self, spec: str) -> float:
-        kind = next(kind for kind in KINDS if kind.name == spec)
+        kind = _kind_of(spec)
         return kind.estimate_s * self.world.random.uniform(*kind.factors)
 
     # Faults of the network
@@ -659,15 +673,79 @@
     def _submit_kind(self, kind: JobKind) -> None:
         self.submit(kind)
 
+    def load_contended(self, jobs_per_s: float, duration_s: float, spread: bool) -> None:
+        """Submit jobs at random times for some seconds, each with other requests of its id.
+
+        :param spread: whether the requests of one id come from different failure domains.
+        """
+        at = 0.0
+        while True:
+            at += self.random.expovariate(jobs_per_s)
+            if at >= duration_s:
+                return
+            self.world.call_later(at, functools.partial(self._submit_contended, spread))
+
+    def _submit_contended(self, spread: bool) -> None:
+        kind = self.random.choice(KINDS)
+        domain = self.random.choice(self.domains)
+        job_id = self.submit(kind, domain)
+
+        def choose_domain() -> str:
+            return self.random.choice(self.domains) if spread else domain
+
+        def send_again() -> None:
+            self._send(job_id, kind, choose_domain(), 2)
+
+        def send_to_other_queue() -> None:
+            other = self.random.choice(KINDS)
+            self._send(job_id, other, choose_domain(), 1, route=OTHER_ROUTE)
+
+        def send_other_content() -> None:
+            self._send(job_id, kind, choose_domain(), 1, variant="changed")
+
+        def disconnect() -> None:
+            self._disconnect_one(job_id)
+
+        actions = [send_again, send_to_other_queue, send_other_content, disconnect]
+        for action in self.random.choices(actions, k=self.random.randint(1, 4)):
+            self.world.call_later(self.random.uniform(0, 2 * self._timeout_s), action)
+
+    def _disconnect_one(self, job_id: str) -> None:
+        """Close the connection of one of the requests with an id."""
+        waiting = [
+            attempt
+            for entry in self.entries
+            for attempt in entry.attempts
+            if attempt.job_id == job_id
+        ]
+        if waiting:
+            self._give_up(self.random.choice(waiting))
+
     def _send(
-        self, job_id: str, kind: JobKind, domain: str, number: int, entry: Entry | None = None
+        self,
+        job_id: str,
+        kind: JobKind,
+        domain: str,
+        number: int,
+        entry: Entry | None = None,
+        route: Route = ROUTE,
+        variant: str = "",
     ) -> None:
         if entry is None:
             serving = [e for e in self.entries if e.node.domain == domain and e.serves]
             if not serving:
                 return
             entry = self.random.choice(serving)
-        attempt = Attempt(job_id, kind, domain, entry, self.world.now, number)
+        attempt = Attempt(
+            job_id,
+            kind,
+            domain,
+            entry,
+            self.world.now,
+            number,
+            route=route,
+            variant=variant,
+        )
         self.attempts.append(attempt)
         entry.attempts.append(attempt)
         loop = entry.node.loop
@@ -700,7 +778,7 @@
             # The client has given up while the process was frozen.
             attempt.disconnected.set_result(None)
         messages: list[MutableMapping[str, Any]] = [
-            {"type": "http.request", "body": attempt.kind.name.encode()}
+            {"type": "http.request", "body": attempt.spec.encode()}
         ]
 
         async def receive() -> MutableMapping[str, Any]:
@@ -710,17 +788,23 @@
             await asyncio.shield(attempt.disconnected)
             return {"type": "http.disconnect"}
 
+        status = 0
+
         async def send(message: Mapping[str, object]) -> None:
+            nonlocal status
             if message["type"] == "http.response.start":
+                assert isinstance(message["status"], int)
                 status = message["status"]
-                assert isinstance(status, int)
-                self.world.call_later(ANSWER_DELAY_S, lambda: self._answer(attempt, status))
+            else:
+                body = message["body"]
+                assert isinstance(body, bytes)
+                self.world.call_later(ANSWER_DELAY_S, lambda: self._answer(attempt, status, body))
 
         scope: Scope = {
             "type": "http",
             "method": "POST",
             "path": f"/q/{attempt.job_id}",
-            "headers": [(b"host", b"host")],
+            "headers": [(b"host", attempt.route.host.encode())],
         }
         await process.front(scope, receive, send)
 
@@ -737,22 +821,35 @@
             self._resubmit_later(attempt)
         return len(lost)
 
-    def _answer(self, attempt: Attempt, status: int) -> None:
+    def _answer(self, attempt: Attempt, status: int, body: bytes) -> None:
         if attempt not in attempt.entry.attempts:
             return
         attempt.entry.attempts.remove(attempt)
         attempt.status = status
+        if status == 200 and not self._is_true(attempt, body):
+            self.wrong_answers.append(attempt.job_id)
         if status in (502, 504):
             self._resubmit_later(attempt)
         elif status in (429, 503) and self.random.random() < RETRY_SHARE:
             self._resubmit_later(attempt, RETRY_AFTER_S)
 
+    def _is_true(self, attempt: Attempt, body: bytes) -> bool:
+        """Return whether a job has ended as its client is told; no run fails by itself."""
+        names = [f"{attempt.job_id}.0.0.{index}" for index in range(attempt.kind.tasks)]
+        done = all((name, attempt.spec) in self.monitor.done_tasks for name in names)
+        return body == JobState.COMPLETE.encode() and done
+
     def _resubmit_later(self, attempt: Attempt, after_s: float = RESUBMIT_S) -> None:
         if attempt.number < 3 and not self.world.is_over:
             self.world.call_later(
                 after_s,
                 lambda: self._send(
-                    attempt.job_id, attempt.kind, attempt.domain, attempt.number + 1
+                    attempt.job_id,
+                    attempt.kind,
+                    attempt.domain,
+                    attempt.number + 1,
+                    route=attempt.route,
+                    variant=attempt.variant,
                 ),
             )
 
@@ -770,6 +867,7 @@
         }
         lines = [
             f"attempt {a.number} at {a.sent_at:.3f} through {a.entry.node.name}: {a.status}"
+            f" ({a.spec})"
             for a in self.attempts
             if a.job_id == job_id
         ]
@@ -786,13 +884,14 @@
 
     def started_refusals(self) -> list[str]:
         """Return the jobs that have started although all their attempts were refused."""
-        statuses_by_job: dict[str, set[int]] = {}
+        statuses_by_job: dict[tuple[str, str], set[int]] = {}
         for attempt in self.attempts:
-            statuses_by_job.setdefault(attempt.job_id, set()).add(attempt.status)
+            job = (attempt.job_id, attempt.spec)
+            statuses_by_job.setdefault(job, set()).add(attempt.status)
         return [
-            job_id
-            for job_id, statuses in statuses_by_job.items()
-            if statuses <= {429, 503} and job_id in self.monitor.started_jobs
+            job[0]
+            for job, statuses in statuses_by_job.items()
+            if statuses <= {429, 503} and job in self.monitor.started_jobs
         ]
 
     def failure(self) -> str:
@@ -800,6 +899,9 @@
         refused = self.started_refusals()
         if refused:
             return f"{len(refused)} refused jobs were started\n{self.explain(refused[0])}"
+        if self.wrong_answers:
+            text = self.explain(self.wrong_answers[0])
+            return f"{len(self.wrong_answers)} answers are not true\n{text}"
         if not self.monitor.double_runs:
             return ""
         first = self.monitor.double_runs[0]
@@ -834,6 +936,10 @@
             cluster.events.append((cluster.world.now, node, record.getMessage(), fields))
 
 
+def _kind_of(spec: str) -> JobKind:
+    return next(kind for kind in KINDS if kind.name == spec.partition(" ")[0])
+
+
 def _running_node() -> Node:
     loop = asyncio.get_running_loop()
     assert isinstance(loop, VirtualLoop)
--- a/packages/testbed/src/redwingport_testbed/simulation/world.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/world.py
@@ -358,6 +358,7 @@
 
     :param task: name of the task.
     :param number: number of the run.
+    :param spec: text of its job.
     :param started_at: virtual time of its start, in seconds.
     :param duration_s: time that it takes, in seconds.
     :param process: name of the process that ordered it.
@@ -366,6 +367,7 @@
 
     task: str
     number: int
+    spec: str
     started_at: float
     duration_s: float
     process: str
@@ -403,18 +405,20 @@
 
     :param double_runs: violations so far.
     :param starts: number of accepted starts.
-    :param started_jobs: ids of the jobs with accepted starts.
+    :param started_jobs: ids and texts of the jobs with accepted starts.
+    :param done_tasks: names of the tasks that were done, each with the text of its job.
     """
 
     double_runs: list[DoubleRun] = field(default_factory=list)
     starts: int = 0
-    started_jobs: set[str] = field(default_factory=set)
+    started_jobs: set[tuple[str, str]] = field(default_factory=set)
+    done_tasks: set[tuple[str, str]] = field(default_factory=set)
     _active_by_task: dict[str, list[tuple[str, ModelRun]]] = field(default_factory=dict)
 
     def note_start(self, server: str, run: ModelRun) -> None:
         """Record the start of a run, and whether another one of its task is running."""
         self.starts += 1
-        self.started_jobs.add(run.task.partition(".")[0])
+        self.started_jobs.add((run.task.partition(".")[0], run.spec))
         active = self._active_by_task.setdefault(run.task, [])
         for other in active:
             self.double_runs.append(DoubleRun(run.started_at, run.task, other, (server, run)))
@@ -541,6 +545,7 @@
         run = ModelRun(
             order.task,
             order.number,
+            order.spec,
             self._world.now,
             self._duration_of(order.spec) * self.slowness,
             process,
@@ -592,6 +597,8 @@
         del self.run_by_task[run.task]
         del self._cpu_by_task[run.task]
         self._monitor.note_end(self.node.name, run)
+        if kind is EndKind.DONE:
+            self._monitor.done_tasks.add((run.task, run.spec))
         self._ended_by_task[run.task] = max(self._ended_by_task.get(run.task, 0), run.number)
         self._ends.append(RunEnd(next(self._sequence), run.task, run.number, kind))
         waiters, self._waiters = self._waiters, []
