--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -9,7 +9,14 @@
 from result import Err
 
 from redwingport_dispatch.clock import current_time
-from redwingport_dispatch.holder import Holder, Job, JobEnd, Outcome, response_target_s
+from redwingport_dispatch.holder import (
+    Holder,
+    Job,
+    JobEnd,
+    Outcome,
+    job_identity,
+    response_target_s,
+)
 from redwingport_dispatch.interfaces import Configuration, JobFormat, JobState, Route
 from redwingport_dispatch.routes import RouteTable
 from redwingport_dispatch.scheduling.admission import TOO_LATE
@@ -131,9 +138,9 @@
         if method == "POST":
             return await self._run_job(route, job_id, body, headers, receive, received_at)
         if method == "DELETE":
-            return self._cancel(job_id)
+            return self._cancel(route, job_id)
         if method == "GET":
-            return self._show(job_id)
+            return self._show(route, job_id)
         return Response(405)
 
     async def _run_job(
@@ -164,12 +171,16 @@
             # An answer after the client's timeout misses the target, however long the tasks take.
             target_at=received_at + min(response_target_s(route, request), client_timeout_s),
             deadline_at=received_at + client_timeout_s,
+            identity=job_identity(route.name, body),
         )
         end = await self._run_while_connected(job, receive)
         return self._answer(end) if end is not None else None
 
     async def _run_while_connected(self, job: Job, receive: Receive) -> JobEnd | None:
-        """Run a job; return None when the client disconnects, which stops the job."""
+        """Run a job; return None when the client disconnects.
+
+        The job stops then, unless other requests wait for it.
+        """
         end: JobEnd | None = None
         async with anyio.create_task_group() as task_group:
 
@@ -186,22 +197,22 @@
     def _answer(self, end: JobEnd) -> Response:
         if end.outcome is Outcome.COMPLETE:
             return Response(200, self._formats.encode_state(JobState.COMPLETE))
-        if end.outcome is Outcome.FAILED:
+        if end.outcome in (Outcome.FAILED, Outcome.CANCELLED):
+            # A submission is answered by no other final state. After any other answer, the client
+            # would submit the deleted job again.
             return Response(200, self._formats.encode_state(JobState.FAILED))
-        if end.outcome is Outcome.CANCELLED:
-            return Response(200, self._formats.encode_state(JobState.CANCELLED))
         if end.outcome is Outcome.REFUSED:
             status = 429 if end.reason == TOO_LATE else 503
             return _retry_later(status, end.retry_after_s)
         return Response(504)
 
-    def _cancel(self, job_id: str) -> Response:
-        if self._holder.cancel(job_id):
+    def _cancel(self, route: Route, job_id: str) -> Response:
+        if self._holder.cancel(job_id, route.name):
             return Response(200, self._formats.encode_state(JobState.CANCELLED))
         return Response(410)
 
-    def _show(self, job_id: str) -> Response:
-        job = self._holder.job_by_id.get(job_id)
+    def _show(self, route: Route, job_id: str) -> Response:
+        job = self._holder.find(job_id, route.name)
         if job is None:
             return Response(410)
         state = JobState.RUNNING if job.started else JobState.QUEUED
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -1,6 +1,7 @@
 """Holder: tracks the jobs of the clients that are connected to this process."""
 
 import enum
+import hashlib
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -13,7 +14,13 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
 from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, rank_shards
-from redwingport_dispatch.scheduling.admission import FITS_ON_NO_SERVER, NO_SERVER, TOO_LATE
+from redwingport_dispatch.scheduling.admission import (
+    FITS_ON_NO_SERVER,
+    ID_IN_USE,
+    NO_SERVER,
+    TOO_LATE,
+    retry_after_s,
+)
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
@@ -34,6 +41,8 @@
 # of the shard is suitable (few servers have the label, or the service has few servers) is offered
 # to all shards.
 MAX_OFFERS_UNDER_LOAD = 2
+# Number of bytes of the hash that tells apart jobs with the same id.
+IDENTITY_BYTES = 8
 
 OwnerMessage = SubmitWork | CancelWork | ReleaseWork
 
@@ -147,11 +156,16 @@
     :param request: the job as submitted.
     :param received_at: monotonic time of receipt, in seconds.
     :param target_at: monotonic time until which the answer is on time, in seconds.
-    :param deadline_at: monotonic time until which the client waits, in seconds.
+    :param deadline_at: monotonic time until which a client waits, in seconds; the latest one if
+        several requests wait for the job.
+    :param identity: hash that tells it from other jobs with the same id; see
+        :func:`job_identity`.
     :param started: whether the start of any task was ordered.
     :param end: how the job ended; None while it is open.
     :param ended: set when the job has ended.
     :param work_by_step: work items by number of the step.
+    :param requests: number of requests that have waited for the job so far.
+    :param waiters: number of requests that wait for the job now.
     """
 
     job_id: str
@@ -160,10 +174,13 @@
     received_at: float
     target_at: float
     deadline_at: float
+    identity: str
     started: bool = False
     end: JobEnd | None = None
     ended: anyio.Event = field(default_factory=anyio.Event)
     work_by_step: dict[int, _HeldWork] = field(default_factory=dict)
+    requests: int = 0
+    waiters: int = 0
 
     def may_have_started(self) -> bool:
         """Return whether any task has started as far as this process can know.
@@ -186,6 +203,19 @@
     return route.stretch * max(finish_s) + route.slack_s
 
 
+def job_identity(queue: str, body: bytes) -> str:
+    """Return a hash of the queue and the content of a job.
+
+    Ids are chosen by clients, so two jobs may have the same one. A job that is submitted again has
+    the same queue and body.
+
+    :param queue: name of the queue.
+    :param body: body of the submission.
+    """
+    text = queue.encode() + b"/" + body
+    return hashlib.blake2b(text, digest_size=IDENTITY_BYTES).hexdigest()
+
+
 class Holder:
     """Submit the steps of jobs to the owners of shards, and track the jobs until they end.
 
@@ -221,32 +251,82 @@
     async def run(self, job: Job) -> JobEnd:
         """Run a job until it ends; cancelling this call stops the job.
 
-        A second request with the id of an open job waits for the end of that job.
+        A second request for an open job waits for the end of that job, which goes on as long as
+        any request waits. Another job with the id of an open one is refused: their tasks would
+        have the same names at the servers.
+
+        :returns: the end of the job, or an unknown one at the deadline of this request.
         """
-        known = self.job_by_id.get(job.job_id)
-        if known is not None:
-            await known.ended.wait()
-            assert known.end is not None
-            return known.end
-        self.job_by_id[job.job_id] = job
+        known = self.job_by_id.setdefault(job.job_id, job)
+        if known.identity != job.identity:
+            wait_s = known.target_at - current_time()
+            end = JobEnd(Outcome.REFUSED, ID_IN_USE, retry_after_s(wait_s))
+            self._end(job, end)
+            return end
+        known.requests += 1
+        known.waiters += 1
+        reason = "client left"
         try:
-            self._submit_ready_steps(job)
+            if known is job:
+                self._submit_ready_steps(job)
+            else:
+                self._join(known, job.deadline_at)
             with anyio.move_on_after(max(0.0, job.deadline_at - current_time())):
-                await job.ended.wait()
-            if job.end is None:
-                self._end_at_deadline(job)
-        except BaseException:
-            if job.end is None:
-                self._end(job, JobEnd(Outcome.CANCELLED, "client left"))
-            raise
+                await known.ended.wait()
+            reason = "deadline"
         finally:
-            del self.job_by_id[job.job_id]
-        assert job.end is not None
-        return job.end
+            known.waiters -= 1
+            self._leave(known, reason)
+        return known.end or JobEnd(Outcome.UNKNOWN, reason)
+
+    def _join(self, job: Job, deadline_at: float) -> None:
+        """Let a further request wait for a job."""
+        log_event(
+            decisions,
+            logging.INFO,
+            "request-joined",
+            job=job.job_id,
+            queue=job.route.name,
+            waiters=job.waiters,
+        )
+        if deadline_at <= job.deadline_at:
+            return
+        job.deadline_at = deadline_at
+        for work in job.work_by_step.values():
+            if work.work_id in self._work_by_id and work.submitted_to[0]:
+                self._submit(work)
+
+    def _leave(self, job: Job, reason: str) -> None:
+        """End an open job for which no request waits any more, and forget it then.
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job; return whether it was open."""
+        :param reason: why the last request has stopped to wait.
+        """
+        if job.waiters:
+            if job.end is None:
+                log_event(
+                    decisions,
+                    logging.INFO,
+                    "request-left",
+                    job=job.job_id,
+                    queue=job.route.name,
+                    reason=reason,
+                    waiters=job.waiters,
+                )
+            return
+        if job.end is None and reason == "deadline":
+            self._end_at_deadline(job)
+        elif job.end is None:
+            self._end(job, JobEnd(Outcome.CANCELLED, reason))
+        del self.job_by_id[job.job_id]
+
+    def find(self, job_id: str, queue: str) -> Job | None:
+        """Return the open job of a queue with that id, or None."""
         job = self.job_by_id.get(job_id)
+        return job if job is not None and job.route.name == queue else None
+
+    def cancel(self, job_id: str, queue: str) -> bool:
+        """Cancel a job of a queue; return whether it was open."""
+        job = self.find(job_id, queue)
         if job is None:
             return False
         self._end(job, JobEnd(Outcome.CANCELLED, "cancelled"))
@@ -344,8 +424,8 @@
                 continue
             if event == "placed":
                 self._record_placement(work.job)
-                task.next_run = max(task.next_run, run_number + 1)
-                task.placed_on = server_id
+                if run_number >= task.next_run:
+                    task.next_run, task.placed_on = run_number + 1, server_id
                 if work.submitted_to[0] not in ("", sender):
                     # Reported by the previous owner; the current one must not start the task
                     # again.
@@ -357,7 +437,7 @@
                     task.done, task.done_run, task.done_at = True, run_number, current_time()
                     task.placed_on = server_id or task.placed_on
                 self._finish_work(work)
-            else:
+            elif not task.done:
                 reason = f"task {index} failed {work.job.route.attempts} times"
                 self._end(work.job, JobEnd(Outcome.FAILED, reason))
 
@@ -381,6 +461,9 @@
 
     def _submit_ready_steps(self, job: Job) -> None:
         for number, step in enumerate(job.request.steps):
+            if job.end is not None:
+                # An owner in this process has refused one of the steps.
+                return
             if number in job.work_by_step:
                 continue
             earlier = [job.work_by_step.get(other) for other in step.after]
@@ -433,6 +516,7 @@
             other_servers=any(previous != shard for previous in work.previous_shards()),
             more_offers=self._has_more_offers(work, TOO_LATE),
             refused_for_load=work.refused_for_load,
+            identity=job.identity,
         )
         # Set before sending, because an owner in this process answers within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
@@ -491,6 +575,8 @@
 
     def _has_more_offers(self, work: _HeldWork, reason: str) -> bool:
         """Return whether a work item is offered to another shard if this one refuses it."""
+        if reason == ID_IN_USE:
+            return False
         offers = len(self._shard_owners)
         if reason not in (FITS_ON_NO_SERVER, NO_SERVER):
             offers = min(offers, MAX_OFFERS_UNDER_LOAD)
@@ -547,6 +633,9 @@
                 "handovers": sum(work.handovers for work in works),
                 "done": _list_completed_runs(job, now),
             }
+        requests: dict[str, object] = {}
+        if job.requests > 1:
+            requests = {"requests": job.requests, "waiters": job.waiters}
         log_event(
             decisions,
             logging.INFO,
@@ -564,6 +653,7 @@
             declared_s=round(declared_s, 3),
             offers=sum(work.offers for work in works),
             **earlier,
+            **requests,
         )
 
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -3,9 +3,12 @@
 from dataclasses import dataclass
 
 from redwingport_dispatch.interfaces import RunEnd
+from redwingport_dispatch.scheduling.admission import ID_IN_USE
 from redwingport_dispatch.scheduling.work import Work, WorkKey
 
 StepKey = tuple[str, int]
+# Id and identity of a job.
+JobKey = tuple[str, str]
 
 # Ended work items are kept for a holder that resubmits them after its link was broken.
 ENDED_WORK_TTL_S = 3.0
@@ -40,8 +43,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _UnclaimedEnd:
+class UnclaimedEnd:
+    """Represent the end of a run that belongs to no known work item.
+
+    :param end: the end.
+    :param server_id: id of the server that has reported it.
+    :param identity: identity of the job of the run; empty when unknown.
+    :param expires_at: monotonic time from which it can no longer be claimed, in seconds.
+    """
+
     end: RunEnd
+    server_id: str
+    identity: str
     expires_at: float
 
 
@@ -51,9 +64,9 @@
     def __init__(self) -> None:
         self._ended_by_key: dict[WorkKey, _EndedWork] = {}
         self._refusal_by_key: dict[WorkKey, Refusal] = {}
-        self._passed_on_by_step: dict[StepKey, Refusal] = {}
-        self._unclaimed_by_task: dict[str, _UnclaimedEnd] = {}
-        self._started_until_by_job: dict[str, float] = {}
+        self._passed_on_by_step: dict[StepKey, dict[WorkKey, Refusal]] = {}
+        self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
+        self._started_until_by_job: dict[JobKey, float] = {}
 
     def note_ended(self, work: Work, now: float) -> None:
         """Record a work item whose tasks are all done."""
@@ -69,8 +82,9 @@
         expires_at = work.deadline_at + ENDED_WORK_TTL_S
         refusal = Refusal(work, reason, retry_after_s, expires_at)
         self._refusal_by_key[work.key] = refusal
-        if work.more_offers:
-            self._passed_on_by_step[work.job_id, work.step] = refusal
+        if work.more_offers and reason != ID_IN_USE:
+            step = (work.job_id, work.step)
+            self._passed_on_by_step.setdefault(step, {})[work.key] = refusal
 
     def find_refusal(self, key: WorkKey) -> Refusal | None:
         """Return the refusal of a work item, or None if it was not refused."""
@@ -85,34 +99,48 @@
         :param work: the work item of the later submission.
         :returns: the refusal; None if there is none, or if this shard has started the job since.
         """
-        if not work.more_offers or self.has_started(work.job_id):
+        if not work.more_offers or self.has_started(work.job_id, work.identity):
             return None
-        return self._passed_on_by_step.get((work.job_id, work.step))
+        refusal_by_key = self._passed_on_by_step.get((work.job_id, work.step), {})
+        return next(iter(refusal_by_key.values()), None)
 
     def forget_passed_on(self, key: WorkKey) -> None:
         """Forget that a refused work item was offered to another shard; its job has ended."""
         refusal = self._refusal_by_key.get(key)
         if refusal is not None:
             step = (refusal.work.job_id, refusal.work.step)
-            if self._passed_on_by_step.get(step) is refusal:
-                del self._passed_on_by_step[step]
+            refusal_by_key = self._passed_on_by_step.get(step, {})
+            refusal_by_key.pop(key, None)
+            if not refusal_by_key:
+                self._passed_on_by_step.pop(step, None)
 
-    def note_started(self, job_id: str, now: float) -> None:
-        """Record that a run of a job has started."""
-        self._started_until_by_job[job_id] = now + STARTED_JOB_TTL_S
+    def note_started(self, job_id: str, identity: str, now: float) -> None:
+        """Record that a run of a job has started.
 
-    def has_started(self, job_id: str) -> bool:
-        """Return whether a run of a job has started recently."""
-        return job_id in self._started_until_by_job
+        :param identity: identity of the job; empty when unknown.
+        """
+        self._started_until_by_job[job_id, identity] = now + STARTED_JOB_TTL_S
 
-    def note_unclaimed_end(self, end: RunEnd, now: float) -> None:
-        """Record the end of a run that belongs to no known work item."""
-        self._unclaimed_by_task[end.task] = _UnclaimedEnd(end, now + UNCLAIMED_END_TTL_S)
+    def has_started(self, job_id: str, identity: str) -> bool:
+        """Return whether a run of a job has started recently, or may have."""
+        started = self._started_until_by_job
+        return (job_id, identity) in started or (job_id, "") in started
 
-    def claim_end(self, task_name: str) -> RunEnd | None:
-        """Remove and return the end of a run that was reported before its work item arrived."""
-        unclaimed = self._unclaimed_by_task.pop(task_name, None)
-        return unclaimed.end if unclaimed is not None else None
+    def note_unclaimed_end(self, end: RunEnd, server_id: str, identity: str, now: float) -> None:
+        """Record the end of a run that belongs to no known work item.
+
+        :param identity: identity of the job of the run; empty when unknown.
+        """
+        expires_at = now + UNCLAIMED_END_TTL_S
+        self._unclaimed_by_task[end.task] = UnclaimedEnd(end, server_id, identity, expires_at)
+
+    def find_unclaimed_end(self, task_name: str) -> UnclaimedEnd | None:
+        """Return the end of a run of a task that belonged to no known work item, or None."""
+        return self._unclaimed_by_task.get(task_name)
+
+    def forget_unclaimed_end(self, task_name: str) -> None:
+        """Remove the end of a run that a work item has claimed."""
+        self._unclaimed_by_task.pop(task_name, None)
 
     def prune(self, now: float) -> None:
         """Remove expired entries."""
@@ -125,9 +153,15 @@
             if now < refusal.expires_at
         }
         self._passed_on_by_step = {
-            step: refusal
-            for step, refusal in self._passed_on_by_step.items()
-            if now < refusal.expires_at
+            step: valid_by_key
+            for step, refusal_by_key in self._passed_on_by_step.items()
+            if (
+                valid_by_key := {
+                    key: refusal
+                    for key, refusal in refusal_by_key.items()
+                    if now < refusal.expires_at
+                }
+            )
         }
         self._unclaimed_by_task = {
             task: unclaimed
@@ -135,5 +169,5 @@
             if now < unclaimed.expires_at
         }
         self._started_until_by_job = {
-            job_id: until for job_id, until in self._started_until_by_job.items() if now < until
+            job: until for job, until in self._started_until_by_job.items() if now < until
         }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -13,8 +13,9 @@
 )
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
+from redwingport_dispatch.scheduling import admission
 from redwingport_dispatch.scheduling.effects import Effects
-from redwingport_dispatch.scheduling.history import History
+from redwingport_dispatch.scheduling.history import History, UnclaimedEnd
 from redwingport_dispatch.scheduling.openings import UpcomingSlots
 from redwingport_dispatch.scheduling.placement import Placement, choose_server
 from redwingport_dispatch.scheduling.queue import WorkQueue
@@ -160,7 +161,7 @@
             the runs of the work item.
         """
         if work.key in self.work_by_key:
-            self._resubmit(self.work_by_key[work.key], placed_by_index)
+            self._resubmit(self.work_by_key[work.key], work, placed_by_index, now)
             return
         refusal = self._history.find_refusal(work.key)
         if refusal is not None:
@@ -176,7 +177,9 @@
             self.refuse(work, passed_on.reason, passed_on.retry_after_s, {})
             return
         work.late = now + work.shape.estimate_s > work.target_at
-        self._displace_older(work, now)
+        work.resumed = resumed
+        if not self._displace_older(work, now):
+            return
         self.work_by_key[work.key] = work
         silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
         settled_at = max(self._settled_at, now)
@@ -187,8 +190,7 @@
             work.handover_until = now + HANDOVER_REPORT_S
         else:
             work.handover_until = now if resumed else settled_at
-        work.resumed = resumed
-        work.ever_started = resumed or self._history.has_started(work.job_id)
+        work.ever_started = resumed or self._history.has_started(work.job_id, work.identity)
         may_run_already = resumed or now < self._settled_at
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), may_run_already)
@@ -250,43 +252,119 @@
 
     def _admit_task(self, work: Work, task: Task, placed_on: str, may_run_already: bool) -> None:
         name = work.task_name(task.index)
-        unclaimed = self._history.claim_end(name)
+        unclaimed = self._history.find_unclaimed_end(name)
         if unclaimed is not None:
-            task.next_run = max(task.next_run, unclaimed.number + 1)
-            task.after = RunOver.END_REPORTED
-            if unclaimed.kind is EndKind.DONE:
-                task.state = TaskState.DONE
-                self._effects.report_done(work, task, unclaimed.number, placed_on)
+            task.next_run = max(task.next_run, unclaimed.end.number + 1)
+            if self._claim_end(work, task, unclaimed):
                 return
         run = self.run_by_task.get(name)
         if run is not None:
-            if run.work is None and run.state is RunState.RUNNING:
+            if self._may_adopt(run, work, task):
                 self._adopt_run(run, work, task)
             else:
-                task.next_run = max(task.next_run, run.number + 1)
-                task.earlier_run = run
-                task.state = TaskState.BLOCKED
-                task.blocked_on = run.server_id
+                self._await_run(run, work, task)
         elif may_run_already:
             task.state = TaskState.BLOCKED
             task.blocked_on = placed_on
 
-    def _displace_older(self, work: Work, now: float) -> None:
-        """Cancel work items of the same step left by another holder or an earlier submission."""
-        for other in list(self.work_by_key.values()):
-            if other.job_id == work.job_id and other.step == work.step:
-                self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
-                # Its holder would submit it to the next owner, with runs that are over by then.
-                self._effects.abandon(other)
-                self._drop_work(other, now, logs_ends=True)
-
-    def _resubmit(self, work: Work, placed_by_index: dict[int, str]) -> None:
-        """Update a resubmitted work item with the placements that its holder knows now."""
-        for index, server_id in placed_by_index.items():
-            task = work.task_by_index.get(index)
-            if task and task.state is TaskState.BLOCKED and not task.blocked_on:
-                task.blocked_on = server_id
+    def _claim_end(self, work: Work, task: Task, unclaimed: UnclaimedEnd) -> bool:
+        """Apply an end that was reported before its work item arrived.
+
+        :returns: whether it has completed the task.
+        """
+        end = unclaimed.end
+        if not work.owns_run(task, unclaimed.server_id, end.number, unclaimed.identity):
+            return False
+        self._history.forget_unclaimed_end(end.task)
+        task.after = RunOver.END_REPORTED
+        if end.kind is not EndKind.DONE:
+            return False
+        task.state = TaskState.DONE
+        self._effects.report_done(work, task, end.number, unclaimed.server_id)
+        return True
+
+    @staticmethod
+    def _may_adopt(run: Run, work: Work, task: Task) -> bool:
+        return (
+            run.work is None
+            and run.state is RunState.RUNNING
+            and work.owns_run(task, run.server_id, run.number, run.identity)
+        )
+
+    def _await_run(self, run: Run, work: Work, task: Task) -> None:
+        """Let a task wait for the end of a run that does not belong to its work item."""
+        task.next_run = max(task.next_run, run.number + 1)
+        task.earlier_run = run
+        task.state = TaskState.BLOCKED
+        task.blocked_on = run.server_id
+        self._blocked.add(work)
+
+    def _displace_older(self, work: Work, now: float) -> bool:
+        """Cancel work items of the same step left by another holder or an earlier submission.
+
+        :returns: whether the id of the job is free; the work item is refused if it is not.
+        """
+        namesakes = [other for other in self.work_by_key.values() if other.job_id == work.job_id]
+        for other in namesakes:
+            if other.identity == work.identity:
+                if other.step != work.step:
+                    continue
+            elif other.holder != work.holder:
+                # The tasks of the two jobs have the same names at the servers. If this one comes
+                # from an earlier owner, it may be the one that runs.
+                later = other if work.resumed and not other.ever_started else work
+                self._refuse_namesake(later, other if later is work else work, now)
+                if later is work:
+                    return False
+                continue
+            self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
+            # Its holder would submit it to the next owner, with runs that are over by then.
+            self._effects.abandon(other)
+            self._drop_work(other, now, logs_ends=True)
+        return True
+
+    def _refuse_namesake(self, work: Work, other: Work, now: float) -> None:
+        """Refuse a work item, or abandon it if it has started, as another job has its id."""
+        if self._history.has_started(work.job_id, work.identity):
+            self._effects.abandon(work)
+            self._forget_work(work)
+        else:
+            retry_after_s = admission.retry_after_s(other.target_at - now)
+            self.refuse(work, admission.ID_IN_USE, retry_after_s, {})
+
+    def _resubmit(
+        self, work: Work, again: Work, placed_by_index: dict[int, str], now: float
+    ) -> None:
+        """Update a resubmitted work item with the placements that its holder knows now.
+
+        Its deadline is extended if another client with a later one waits for the job.
+        """
+        work.deadline_at = max(work.deadline_at, again.deadline_at)
         self._report_done_again(work)
+        for index, told in again.task_by_index.items():
+            task = work.task_by_index.get(index)
+            if task is None or task.state not in (TaskState.QUEUED, TaskState.BLOCKED):
+                continue
+            if not task.blocked_on:
+                task.blocked_on = placed_by_index.get(index, "")
+            if told.next_run > task.last_run[1] + 1:
+                task.last_run = told.last_run
+                task.next_run = max(task.next_run, told.next_run)
+                self._claim_told_run(work, task)
+        if not work.queued_tasks():
+            self.queue.remove(work)
+        if work.is_done():
+            self._finish(work, now)
+
+    def _claim_told_run(self, work: Work, task: Task) -> None:
+        """Claim the run that the holder has named, if a server has reported it or its end."""
+        name = work.task_name(task.index)
+        run = self.run_by_task.get(name)
+        unclaimed = self._history.find_unclaimed_end(name)
+        if run is not None and self._may_adopt(run, work, task):
+            self._adopt_run(run, work, task)
+        elif unclaimed is not None:
+            self._claim_end(work, task, unclaimed)
 
     def _report_done_again(self, work: Work) -> None:
         for task in work.task_by_index.values():
@@ -408,13 +486,15 @@
             ordered_at=now,
             expected_s=placement.expected_s,
             after=task.after,
+            identity=work.identity,
         )
         task.state = TaskState.ACTIVE
+        task.last_run = (run.server_id, run.number)
         task.next_run += 1
         if not work.ever_started:
             work.ever_started = True
             self.queue.reposition(work)
-        self._history.note_started(work.job_id, now)
+        self._history.note_started(work.job_id, work.identity, now)
         self.run_by_task[run.task_name] = run
         server.add_run(run)
         # A start order carries a lease; the last lease of an idle server may have ended long ago.
@@ -658,7 +738,7 @@
             accepted_at=now,
             orphan_until=now + ORPHAN_GRACE_S,
         )
-        self._history.note_started(job_id_of(task_name), now)
+        self._history.note_started(job_id_of(task_name), "", now)
         self.run_by_task[task_name] = run
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before this report.
@@ -666,7 +746,11 @@
         waiting = self._find_waiting_task(task_name)
         if waiting is not None:
             work, task = waiting
-            self._adopt_run(run, work, task)
+            if self._may_adopt(run, work, task):
+                self._adopt_run(run, work, task)
+            else:
+                work.ever_started = True
+                self._await_run(run, work, task)
             if not work.queued_tasks():
                 self.queue.remove(work)
 
@@ -681,9 +765,11 @@
     def _adopt_run(self, run: Run, work: Work, task: Task) -> None:
         task.next_run = max(task.next_run, run.number + 1)
         task.state = TaskState.ACTIVE
+        task.last_run = (run.server_id, run.number)
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
         run.released_work = None
+        run.identity = work.identity
         self.server_by_id[run.server_id].set_run_shape(run, work.shape)
         self._effects.log_decision(
             "run-adopted",
@@ -696,14 +782,15 @@
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
         run = self.run_by_task.get(end.task)
-        self._history.note_started(job_id_of(end.task), now)
+        identity = run.identity if run is not None else ""
+        self._history.note_started(job_id_of(end.task), identity, now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
             waiting = self._find_waiting_task(end.task)
             if run is None and waiting is not None:
                 self._handle_end_of_earlier_run(*waiting, server, end, now)
             else:
-                self._history.note_unclaimed_end(end, now)
+                self._history.note_unclaimed_end(end, server.listing.server_id, "", now)
             return
         self._forget_run(run, RunOver.END_REPORTED)
         work = run.work
@@ -715,7 +802,7 @@
                 released = run.released_work
                 task = released.task_by_index[run.index]
                 self._effects.report_done(released, task, run.number, run.server_id)
-            self._history.note_unclaimed_end(end, now)
+            self._history.note_unclaimed_end(end, run.server_id, run.identity, now)
             return
         task = work.task_by_index[run.index]
         if end.kind is EndKind.DONE:
@@ -737,14 +824,22 @@
     def _handle_end_of_earlier_run(
         self, work: Work, task: Task, server: ServerState, end: RunEnd, now: float
     ) -> None:
-        """Handle the end of a run of a waiting task that an earlier owner ordered."""
+        """Handle the end of a run that has the name of a waiting task and is not known here.
+
+        It completes the task only if the holder was told of the run by an earlier owner, or if
+        this owner has ordered it and presumed it over.
+        """
         task.next_run = max(task.next_run, end.number + 1)
+        server_id = server.listing.server_id
+        if not work.owns_run(task, server_id, end.number, ""):
+            self._history.note_unclaimed_end(end, server_id, "", now)
+            return
         if end.kind is not EndKind.DONE:
             return
         task.state = TaskState.DONE
         if not work.queued_tasks():
             self.queue.remove(work)
-        self._effects.report_done(work, task, end.number, server.listing.server_id)
+        self._effects.report_done(work, task, end.number, server_id)
         if work.is_done():
             self._finish(work, now)
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -82,6 +82,7 @@
     :param blocked_on: id of the server whose report decides whether an earlier run is still
         running; empty when the reports of all servers are needed.
     :param earlier_run: run of an earlier submission, for which the task waits.
+    :param last_run: server and number of its last known run; empty and 0 for none.
     :param after: evidence that its last run is over; for the log.
     """
 
@@ -91,6 +92,7 @@
     failures: int = 0
     blocked_on: str = ""
     earlier_run: "Run | None" = None
+    last_run: tuple[str, int] = ("", 0)
     after: RunOver = RunOver.NONE_KNOWN
 
 
@@ -114,6 +116,7 @@
     :param other_servers: whether a run of an earlier owner may be on a server that does not belong
         to this shard.
     :param refused_for_load: whether another shard has refused it for its load.
+    :param identity: hash that tells its job from others with the same id.
     :param safe_at: monotonic time from which no run of an earlier owner is expected, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
@@ -137,6 +140,7 @@
     more_offers: bool = False
     other_servers: bool = False
     refused_for_load: bool = False
+    identity: str = ""
     safe_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
@@ -163,6 +167,18 @@
             return None
         return self.task_by_index.get(int(index))
 
+    def owns_run(self, task: Task, server_id: str, number: int, identity: str) -> bool:
+        """Return whether a run with the name of a task belongs to the same job.
+
+        Tasks of another job with the same id have the same names. Numbers of runs rise at a
+        server, so a known run there is no other one.
+
+        :param identity: identity of the job of the run; empty when unknown.
+        """
+        if identity:
+            return identity == self.identity
+        return task.last_run == (server_id, number)
+
     def queued_tasks(self) -> list[Task]:
         """Return the tasks that wait for a server."""
         return [task for task in self.task_by_index.values() if task.state is TaskState.QUEUED]
@@ -204,6 +220,7 @@
         task may be started by another owner or for another holder.
     :param released_work: work item that it belonged to until its holder submitted that to another
         owner; None if there is none.
+    :param identity: identity of its job; empty for a run that no process has claimed.
     """
 
     task_name: str
@@ -224,6 +241,7 @@
     over: RunOver | None = None
     logs_end: bool = False
     released_work: Work | None = None
+    identity: str = ""
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -105,11 +105,14 @@
         more_offers: bool = False,
         other_servers: bool = False,
         refused_for_load: bool = False,
+        work_id: int = 0,
+        identity: str = "identity",
     ) -> Work:
+        """Submit a work item; one with the number of an earlier one is submitted again."""
         self._next_work += 1
         work = Work(
             holder=holder,
-            work_id=self._next_work,
+            work_id=work_id or self._next_work,
             job_id=job_id,
             step=0,
             service=SERVICE,
@@ -123,8 +126,13 @@
             more_offers=more_offers,
             other_servers=other_servers,
             refused_for_load=refused_for_load,
+            identity=identity,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
+        for index, server_id in (placed or {}).items():
+            if server_id:
+                # The holder was told of the first run.
+                work.task_by_index[index] = Task(index, 2, last_run=(server_id, 1))
         self.scheduler.submit(work, placed or {}, resumed, self.now, unheard_s)
         return work
 
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -18,7 +18,7 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.election import ShardOwner
 from redwingport_dispatch.ownership.shards import even_layout, rank_shards
-from redwingport_dispatch.scheduling.admission import TOO_LATE
+from redwingport_dispatch.scheduling.admission import ID_IN_USE, TOO_LATE
 from redwingport_messages.dispatch import (
     CancelWork,
     ReleaseWork,
@@ -60,7 +60,7 @@
         "", tuple(StepRequest(tasks, shape, (n - 1,) if n else ()) for n in range(steps))
     )
     now = anyio.current_time()
-    return Job("0" * 16, ROUTE, request, now, now + 0.2, now + timeout_s)
+    return Job("0" * 16, ROUTE, request, now, now + 0.2, now + timeout_s, "identity")
 
 
 def set_owners(holder: Holder, shard_owners: Sequence[ShardOwner]) -> None:
@@ -506,3 +506,65 @@
         holder.handle_notification("o", TaskNews([(1, 0, "done", 1, "s"), (1, 1, "done", 1, "s")]))
 
     assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
+
+
+# Guards against a job that runs at another shard beside one with the same id.
+async def test_job_whose_id_is_in_use_is_offered_to_no_other_shard() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        owners = [ShardOwner("o", 1), ShardOwner("p", 2)]
+        set_owners(holder, owners)
+        [message] = links.submissions()
+        assert message.identity == "identity"
+        owner = owners[message.shard]
+        refusal = WorkRefused(message.work_id, owner.term, ID_IN_USE, 2)
+        holder.handle_notification(owner.owner, refusal)
+        assert len(links.submissions()) == 1
+
+    end = await run_job(make_job(), script, owner="")
+    assert (end.outcome, end.reason, end.retry_after_s) == (Outcome.REFUSED, ID_IN_USE, 2)
+
+
+# Guards against an owner that takes a run for one of this job: of a late notification, it was told
+# the server, with the number of a later run.
+async def test_late_placement_does_not_replace_that_of_a_later_run() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        set_owners(holder, [ShardOwner("p", 2)])
+        holder.handle_notification("p", TaskNews([(1, 1, "placed", 2, "t")]))
+        holder.handle_notification("o", TaskNews([(1, 1, "placed", 1, "s")]))
+        assert links.submissions()[-1].tasks == [(0, 1, ""), (1, 3, "t")]
+
+    await run_job(make_job(), script)
+
+
+# Guards against a job that is shown as failed because of a task that is done: an earlier owner has
+# reported the failure of its own runs late.
+async def test_failure_of_a_task_that_is_done_is_ignored() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        set_owners(holder, [ShardOwner("p", 2)])
+        holder.handle_notification("p", TaskNews([(1, 0, "done", 4, "s")]))
+        holder.handle_notification("o", TaskNews([(1, 0, "failed", 3, "s")]))
+        holder.handle_notification("p", TaskNews([(1, 1, "done", 1, "s")]))
+
+    assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
+
+
+# Guards against work items that are kept for good: an owner in this process refuses the first step
+# of a job while the holder submits it.
+async def test_steps_of_a_job_refused_while_they_are_submitted_are_forgotten(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    def send(owner: str, message: OwnerMessage) -> bool:
+        if isinstance(message, SubmitWork):
+            holder.handle_notification("me", WorkRefused(message.work_id, 1, TOO_LATE, 1))
+        return True
+
+    holder = Holder("me", send, lambda peer: 0.0, Metrics())
+    set_owners(holder, [ShardOwner("me", 1)])
+    job = make_job()
+    step = job.request.steps[0]
+    job.request = JobRequest("", (step, step))
+    assert (await holder.run(job)).outcome is Outcome.REFUSED
+    set_owners(holder, [ShardOwner("me", 1), ShardOwner("me", 1)])
+    assert logged(caplog, "works-moved") == []
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -51,6 +51,7 @@
     other_servers=False,
     more_offers=False,
     refused_for_load=False,
+    identity="identity",
 )
 
 
