Tell a request that its client left when another one is pipelined

A client that sends a second request on a connection before the first one is answered, and then leaves, went unnoticed: its first job went on until its end or deadline, and its answer went to nobody. On uvloop the write failed with a traceback.

uvicorn tells only the request that was read last that the connection has ended, and stops to read a connection while a second request waits, so that it does not see the end at all if the second request came later. All open requests are now told, and up to eight requests are read ahead; more wait in the kernel, as before.

Both cases of the new test ran into its time-out on both event loops before (4 failed), and pass now. Answers to pipelined requests were in order and belonged to their requests before and after; a test with 29 of them keeps it so. The tests of the HTTP server now also run on uvloop, which the entry program uses; there, too, an answer went out in two segments before.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -21,6 +21,8 @@
 KEEP_ALIVE_S = 30
 HEAD_TIMEOUT_S = 30.0
 MAX_HEAD_BYTES = 64 * 1024
+# Requests of one connection that are read while an earlier one is being answered.
+MAX_PIPELINED = 8
 _CONTINUE = b"HTTP/1.1 100 "
 _HEAD_TOO_LONG = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -118,6 +120,9 @@
         if self._open_cycles:
             for cycle in self._open_cycles:
                 _log_cut_answer(cycle, exc)
+                # uvicorn tells only the last one.
+                cycle.disconnected = True
+                cycle.message_event.set()
         elif exc is not None and self.flow.write_paused:
             _log_cut_answer(self.cycle, exc)
         super().connection_lost(exc)
@@ -149,6 +154,9 @@
         self._stop_head_timer()
         super().on_headers_complete()
         self._open_cycles.append(self.cycle)
+        if len(self._open_cycles) <= MAX_PIPELINED:
+            # uvicorn stops to read here, and so would not see that the client has left.
+            self.flow.resume_reading()
 
     def on_body(self, body: bytes) -> None:
         """Reset the byte count, and pass a chunk of the body on."""
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -64,9 +64,9 @@
 App = Callable[[Any, Any, Any], Awaitable[None]]
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: pytest.FixtureRequest) -> tuple[str, dict[str, object]]:
+    return "asyncio", {"use_uvloop": request.param}
 
 
 @asynccontextmanager
@@ -254,6 +254,78 @@
     assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(BODY)
 
 
+def numbered_request(number: int, body: bytes = b"{}") -> bytes:
+    head = b"POST /jobs/%016x HTTP/1.1\r\nhost: desk.example\r\n" % number
+    return head + b"content-length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class PathApp:
+    """Answer with the path; the first request waits until it is released or disconnected."""
+
+    def __init__(self) -> None:
+        self.release = anyio.Event()
+        self.first_started = anyio.Event()
+        self.first_disconnected = anyio.Event()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        while (await receive())["more_body"]:
+            pass
+        if scope["path"].endswith("1"):
+            self.first_started.set()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch, scope, receive, send, group.cancel_scope)
+                await self.release.wait()
+                group.cancel_scope.cancel()
+        if not self.first_disconnected.is_set():
+            body = scope["path"].encode()
+            headers = [(b"content-length", b"%d" % len(body))]
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            await send({"type": "http.response.body", "body": body})
+
+    async def _watch(self, scope: Any, receive: Any, send: Any, first: anyio.CancelScope) -> None:
+        await wait_for_disconnect(scope, receive, send)
+        self.first_disconnected.set()
+        first.cancel()
+
+
+def paths(answers: bytes) -> list[bytes]:
+    return [answer.partition(b"\r\n\r\n")[2] for answer in answers.split(b"HTTP/1.1 200 ")[1:]]
+
+
+async def test_pipelined_answers_belong_to_their_requests(free_tcp_port: int) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(numbered_request(1) + numbered_request(2))
+            await app.first_started.wait()
+            # More than are read ahead.
+            for number in range(3, 30):
+                await run_sync(sock.sendall, numbered_request(number, b"x" * 10_000))
+            app.release.set()
+            received = b""
+            while len(paths(received)) < 29 or not received.endswith(b"1d"):
+                received += await run_sync(sock.recv, 65536)
+    assert paths(received) == [b"/jobs/%016x" % number for number in range(1, 30)]
+
+
+# Guards against jobs that go on after a client has left that had sent a second request.
+@pytest.mark.parametrize("at_once", [True, False])
+async def test_request_in_progress_sees_the_disconnect_of_a_pipelining_client(
+    free_tcp_port: int, at_once: bool
+) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            if at_once:
+                sock.sendall(numbered_request(1) + numbered_request(2))
+                await app.first_started.wait()
+            else:
+                sock.sendall(numbered_request(1))
+                await app.first_started.wait()
+                sock.sendall(numbered_request(2))
+        await app.first_disconnected.wait()
+
+
 def start_program(port: int, mode: str) -> subprocess.Popen[bytes]:
     program = subprocess.Popen(
         [sys.executable, "-c", PROGRAM, str(port), mode], stdout=subprocess.PIPE
