Let clients receive the last answer before closing the connection

A client that was still sending when it got the last answer of a connection was reset, and could lose the answer on its way: a refusal sent before the whole body had arrived, an answer with connection: close (every one while a process drains) to a client that had sent its next request already, and the answers to an excessive head and to malformed HTTP.

The connection was closed at once. The kernel resets a connection that is closed with unread input and does not send again what was lost; many clients also drop an answer that a reset follows.

The server now closes only its sending side after the last answer, and discards input until the client closes the connection, for two seconds at most. Idle connections are closed at once, as before.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -20,10 +20,18 @@
 
 KEEP_ALIVE_S = 30
 HEAD_TIMEOUT_S = 30.0
+# Longest time in which a client can receive its answer and close the connection.
+LINGER_S = 2.0
 MAX_HEAD_BYTES = 64 * 1024
 # Requests of one connection that are read while an earlier one is being answered.
 MAX_PIPELINED = 8
 _CONTINUE = b"HTTP/1.1 100 "
+_BAD_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\n"
+    b"content-type: text/plain; charset=utf-8\r\n"
+    b"content-length: 30\r\nconnection: close\r\n\r\n"
+    b"Invalid HTTP request received."
+)
 _HEAD_TOO_LONG = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -47,13 +55,17 @@
     Implements what :class:`RequestResponseCycle` uses of a transport.
 
     :param transport: transport of the connection.
+    :param close: closes the connection.
     :param has_body: whether the request allows a body in its response.
     """
 
-    __slots__ = ("_has_body", "_head", "_is_head_written", "_transport")
+    __slots__ = ("_close", "_has_body", "_head", "_is_head_written", "_transport")
 
-    def __init__(self, transport: asyncio.Transport, has_body: bool) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, close: Callable[[], None], has_body: bool
+    ) -> None:
         self._transport = transport
+        self._close = close
         self._has_body = has_body
         self._is_head_written = False
         self._head = b""
@@ -71,7 +83,7 @@
 
     def close(self) -> None:
         """Close the connection; see :class:`asyncio.Transport`."""
-        self._transport.close()
+        self._close()
 
     def is_closing(self) -> bool:
         """Tell whether the connection is closing; see :class:`asyncio.Transport`."""
@@ -88,9 +100,15 @@
         """Start the request."""
         super().on_headers_complete()
         self.cycle.transport = _ResponseTransport(  # type: ignore[assignment]
-            self.transport, has_body=self.cycle.scope["method"] != "HEAD"
+            self.transport,
+            self.close_after_response,
+            has_body=self.cycle.scope["method"] != "HEAD",
         )
 
+    def close_after_response(self) -> None:
+        """Close the connection after a response that is complete or has failed."""
+        self.transport.close()
+
 
 class BoundedProtocol(WholeAnswerProtocol):
     """Limit the size and the time of a request's head, and the size of its trailer.
@@ -99,10 +117,15 @@
     parser: the end of the head, a chunk of the body or the end of the request.
 
     Answers that did not reach the transport before the end of their connection are logged.
+
+    After the last answer only the sending side is closed, and input is discarded until the client
+    closes: a close with unread input resets the connection, and the client may lose the answer.
     """
 
     _unparsed_bytes = 0
     _head_timer: asyncio.TimerHandle | None = None
+    _linger_timer: asyncio.TimerHandle | None = None
+    _discards_input = False
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -115,8 +138,10 @@
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer of the head; see :class:`asyncio.Protocol`."""
+        """Stop the timers, and log lost answers; see :class:`asyncio.Protocol`."""
         self._stop_head_timer()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         if self._open_cycles:
             for cycle in self._open_cycles:
                 _log_cut_answer(cycle, exc)
@@ -129,19 +154,48 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data; close on an excessive head or trailer; see :class:`asyncio.Protocol`."""
+        if self._discards_input:
+            return
         self._unparsed_bytes += len(data)
         super().data_received(data)
         if self._unparsed_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
-            if not self._is_answering():
-                self.transport.write(_HEAD_TOO_LONG)
-            self.transport.close()
+            self._refuse_input(_HEAD_TOO_LONG)
 
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP with 400, or only close if a response is in progress."""
-        if self._is_answering():
+        self._refuse_input(_BAD_REQUEST)
+
+    def shutdown(self) -> None:
+        """Close the connection after the open requests; see :class:`HttpToolsProtocol`."""
+        if self._linger_timer is None:
+            super().shutdown()
+
+    def close_after_response(self) -> None:
+        """Close the connection; let the client receive a complete response."""
+        if self._open_cycles[0].response_complete:
+            self._linger()
+        else:
             self.transport.close()
+
+    def _refuse_input(self, response: bytes) -> None:
+        """Close the connection.
+
+        :param response: sent unless a request is open.
+        """
+        if not self._open_cycles:
+            self.transport.write(response)
+            self._linger()
         else:
-            super().send_400_response(msg)
+            self.transport.close()
+
+    def _linger(self) -> None:
+        if self.transport.is_closing():
+            return
+        self._discards_input = True
+        self._stop_head_timer()
+        self.flow.resume_reading()
+        self.transport.write_eof()
+        self._linger_timer = self.loop.call_later(LINGER_S, self.transport.close)
 
     def on_message_begin(self) -> None:
         """Start the timer of the head."""
@@ -171,10 +225,8 @@
     def on_response_complete(self) -> None:
         """Continue with the next request, once the answer was passed to the transport."""
         self._open_cycles.popleft()
-        super().on_response_complete()
-
-    def _is_answering(self) -> bool:
-        return self.cycle is not None and not self.cycle.response_complete
+        if self._linger_timer is None:
+            super().on_response_complete()
 
     def _start_head_timer(self) -> None:
         self._stop_head_timer()
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -6,6 +6,7 @@
 import struct
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, closing
 from typing import Any
@@ -14,6 +15,7 @@
 import pytest
 from anyio.to_thread import run_sync
 
+from redwingport_entry import http_server
 from redwingport_entry.http_server import Listener, build_server
 from redwingport_entry.logs import ROOT
 from redwingport_testbed.cluster.raw import answer_of, read_to_end
@@ -259,6 +261,60 @@
     return head + b"content-length: %d\r\n\r\n%b" % (len(body), body)
 
 
+async def refuse_with_close(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"content-length", b"2"), (b"connection", b"close")]
+    await send({"type": "http.response.start", "status": 413, "headers": headers})
+    await send({"type": "http.response.body", "body": b"{}"})
+
+
+# Guards against answers that a client loses as the server resets a connection with unread input.
+@pytest.mark.parametrize(
+    "app, first, status",
+    [
+        (refuse_with_close, numbered_request(1, b"x" * LARGE_BYTES)[:100], 413),
+        (answer_with_length, REQUEST, 200),
+        (answer_with_length, b"GET /" + b"x" * 70_000, 431),
+        (answer_with_length, b"no request\r\n\r\n", 400),
+    ],
+)
+async def test_client_that_still_sends_receives_its_answer_and_no_reset(
+    free_tcp_port: int, monkeypatch: pytest.MonkeyPatch, app: App, first: bytes, status: int
+) -> None:
+    monkeypatch.setattr(http_server, "LINGER_S", TIMEOUT_S)
+
+    def exchange() -> bytes:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(first)
+            # The answer is sent before the rest of the input arrives.
+            sock.recv(1, socket.MSG_PEEK)
+            sock.sendall(b"x" * LARGE_BYTES)
+            received = b""
+            while chunk := sock.recv(65536):
+                received += chunk
+            return received
+
+    async with serving(app, free_tcp_port):
+        answer = await run_sync(exchange)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+
+
+async def test_connection_of_a_client_that_does_not_close_it_is_closed(
+    free_tcp_port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_server, "LINGER_S", 0.1)
+
+    def send_until_it_fails() -> None:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(REQUEST)
+            while True:
+                sock.sendall(b"x")
+                time.sleep(0.01)
+
+    async with serving(answer_with_length, free_tcp_port):
+        with pytest.raises(OSError):
+            await run_sync(send_until_it_fails)
+
+
 class PathApp:
     """Answer with the path; the first request waits until it is released or disconnected."""
 
