Answer requests that precede malformed input

A request in progress got no answer when malformed HTTP or an excessive head followed on its connection: the server closed it at once, and the job was cancelled although its request was whole.

Requests that were received completely are now answered, the last one with connection: close, and further input is discarded. If the request in progress is itself incomplete, the connection is closed as before.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -158,11 +158,11 @@
             return
         self._unparsed_bytes += len(data)
         super().data_received(data)
-        if self._unparsed_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
+        if self._unparsed_bytes > MAX_HEAD_BYTES and not self._discards_input:
             self._refuse_input(_HEAD_TOO_LONG)
 
     def send_400_response(self, msg: str) -> None:
-        """Answer malformed HTTP with 400, or only close if a response is in progress."""
+        """Answer malformed HTTP with 400, after the answers to the requests before it."""
         self._refuse_input(_BAD_REQUEST)
 
     def shutdown(self) -> None:
@@ -178,15 +178,22 @@
             self.transport.close()
 
     def _refuse_input(self, response: bytes) -> None:
-        """Close the connection.
+        """Close the connection, after the requests that were received completely.
 
         :param response: sent unless a request is open.
         """
-        if not self._open_cycles:
+        if self.transport.is_closing():
+            return
+        self._discards_input = True
+        self._stop_head_timer()
+        complete = [cycle for cycle in self._open_cycles if not cycle.more_body]
+        if complete:
+            complete[-1].keep_alive = False
+        elif self._open_cycles:
+            self.transport.close()
+        else:
             self.transport.write(response)
             self._linger()
-        else:
-            self.transport.close()
 
     def _linger(self) -> None:
         if self.transport.is_closing():
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -63,6 +63,8 @@
 anyio.run(main)
 """
 
+CLOSING_REQUEST = b"GET /jobs/ HTTP/1.1\r\nhost: desk.example" + CLOSE
+
 App = Callable[[Any, Any, Any], Awaitable[None]]
 
 
@@ -364,6 +366,24 @@
     assert paths(received) == [b"/jobs/%016x" % number for number in range(1, 30)]
 
 
+# Guards against an answer that is lost because the input after its request is refused.
+@pytest.mark.parametrize("after", [b"no request\r\n\r\n", b"GET /" + b"x" * 70_000])
+async def test_request_before_malformed_input_is_answered(
+    free_tcp_port: int, after: bytes
+) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(numbered_request(1))
+            await app.first_started.wait()
+            sock.sendall(after)
+            # Gives the server time to read the input before.
+            await run_sync(answer_of, free_tcp_port, CLOSING_REQUEST)
+            app.release.set()
+            answer = await run_sync(read_to_end, sock)
+    assert paths(answer)[0].startswith(b"/jobs/%016x" % 1)
+
+
 # Guards against jobs that go on after a client has left that had sent a second request.
 @pytest.mark.parametrize("at_once", [True, False])
 async def test_request_in_progress_sees_the_disconnect_of_a_pipelining_client(
