Log answers that could not be written

An answer written to a connection that the client had reset in the meantime counted as complete: the transport only notes the failure, and the end of the connection found no open request, so that no answer-cut line was written for a job whose job-ended line says complete.

A request now stays open if its connection is closing when the answer is complete, and the line is written with the error of the connection.

The new test waited in vain for the line before (time-out). On uvloop, which writes at the end of an iteration of its loop, such a failure is not seen.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -231,6 +231,9 @@
 
     def on_response_complete(self) -> None:
         """Continue with the next request, once the answer was passed to the transport."""
+        if self.transport.is_closing():
+            # The write failed or came too late, which is logged at the end of the connection.
+            return
         self._open_cycles.popleft()
         if self._linger_timer is None:
             super().on_response_complete()
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -6,6 +6,7 @@
 import struct
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, closing
@@ -258,6 +259,36 @@
     assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(BODY)
 
 
+# uvloop writes after the application has passed the answer on, so the two cannot be ordered there.
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_answer_that_cannot_be_written_is_logged(
+    free_tcp_port: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, ROOT)
+    has_left = threading.Event()
+    may_leave = threading.Event()
+
+    async def answer_late(scope: Any, receive: Any, send: Any) -> None:
+        may_leave.set()
+        # Blocks the event loop, so that the write comes before the end of the connection.
+        assert has_left.wait(TIMEOUT_S)
+        headers = [(b"content-length", b"%d" % len(BODY))]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": BODY})
+
+    def send_and_leave() -> None:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(REQUEST)
+            assert may_leave.wait(TIMEOUT_S)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        has_left.set()
+
+    async with serving(answer_late, free_tcp_port):
+        await run_sync(send_and_leave)
+        logged = await wait_for_event(caplog, "answer-cut")
+    assert logged["partial"] and logged["reason"] == "ConnectionResetError"
+
+
 def numbered_request(number: int, body: bytes = b"{}") -> bytes:
     head = b"POST /jobs/%016x HTTP/1.1\r\nhost: desk.example\r\n" % number
     return head + b"content-length: %d\r\n\r\n%b" % (len(body), body)
