Close the connection of an application that fails after its answer

Since the lingering close, an application that raised after its complete answer left the connection open: the close looked for the open request, found none and failed (IndexError: deque index out of range).

The close now takes a connection without an open request for one whose answers are complete. The new test timed out before, with the error above.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -172,7 +172,7 @@
 
     def close_after_response(self) -> None:
         """Close the connection; let the client receive a complete response."""
-        if self._open_cycles[0].response_complete:
+        if not self._open_cycles or self._open_cycles[0].response_complete:
             self._linger()
         else:
             self.transport.close()
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -211,6 +211,22 @@
     assert answer == b""
 
 
+async def fail_after_the_answer(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"content-length", b"%d" % len(BODY))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": BODY})
+    raise RuntimeError("too late")
+
+
+# Guards against connections that stay open after an application failed.
+async def test_connection_is_closed_when_the_application_fails_after_its_answer(
+    free_tcp_port: int,
+) -> None:
+    async with serving(fail_after_the_answer, free_tcp_port):
+        answer, _ = await run_sync(answer_of, free_tcp_port, REQUEST)
+    assert answer.endswith(BODY)
+
+
 async def stream_parts(scope: Any, receive: Any, send: Any) -> None:
     await receive()
     await send({"type": "http.response.start", "status": 200, "headers": []})
