Answer jobs that the end of their process cuts off as unknown

A client whose job was still open when a draining process exited got 500 Internal Server Error with a plain text, from which no state can be read and after which clients don't send the job again, although a task had started. The server cancels open requests at the end of the process, and uvicorn answers a cancelled request with 500.

Two ways led there: a job that outlasts the grace time, and a job that arrives between the end of the drain and the close of its connection, which was started and cut off at most 0.4 s later. With a site of two processes, a job of 12 s, and one of 1 s sent 0.05 s after the end of the drain, both read 500.

Open jobs are now stopped before the process exits, while its links to the owners are still open, and are answered with 504, as all unknown outcomes are. Jobs that arrive after the drain are refused with 503 before a task starts.

--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -20,6 +20,7 @@
 DEFAULT_TIMEOUT_S = 10.0
 # A process without a configuration receives one as soon as it reaches the store or a peer.
 NO_CONFIGURATION_RETRY_AFTER_S = 1
+STOPPING_RETRY_AFTER_S = 1
 
 decisions = logging.getLogger(DECISIONS)
 
@@ -78,6 +79,22 @@
         self._state = state
         self._holder = holder
         self._formats = formats
+        self._refuses_jobs = False
+        self._open_scopes: set[anyio.CancelScope] = set()
+
+    def refuse_jobs(self) -> None:
+        """Refuse all further jobs, because the process ends before they could."""
+        self._refuses_jobs = True
+
+    def abandon_jobs(self) -> bool:
+        """Stop the open jobs and answer that their outcome is unknown.
+
+        :returns: whether there were any.
+        """
+        scopes = list(self._open_scopes)
+        for scope in scopes:
+            scope.cancel()
+        return bool(scopes)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request; see the ASGI specification."""
@@ -153,6 +170,8 @@
         if request.unsupported:
             self._log_rejected(job_id, route, f"not supported: {request.unsupported}")
             return Response(503)
+        if self._refuses_jobs:
+            return _retry_later(503, STOPPING_RETRY_AFTER_S)
         client_timeout_s = self._formats.client_timeout_s(headers) or DEFAULT_TIMEOUT_S
         if route.timeout_s:
             client_timeout_s = min(client_timeout_s, route.timeout_s)
@@ -165,8 +184,14 @@
             target_at=received_at + min(response_target_s(route, request), client_timeout_s),
             deadline_at=received_at + client_timeout_s,
         )
-        end = await self._run_while_connected(job, receive)
-        return self._answer(end) if end is not None else None
+        with anyio.CancelScope() as scope:
+            self._open_scopes.add(scope)
+            try:
+                end = await self._run_while_connected(job, receive)
+            finally:
+                self._open_scopes.discard(scope)
+            return self._answer(end) if end is not None else None
+        return Response(504)
 
     async def _run_while_connected(self, job: Job, receive: Receive) -> JobEnd | None:
         """Run a job; return None when the client disconnects, which stops the job."""
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -229,9 +229,16 @@
         self._supervisor.start("holder", self.holder.watch)
         await self._drain_started.wait()
         await self._drain()
+        front.refuse_jobs()
         for server in servers:
             server.should_exit = True
-        with anyio.move_on_after(CLOSE_TIMEOUT_S / 2):
+        await self._wait_for_connections(servers, CLOSE_TIMEOUT_S / 2)
+        if front.abandon_jobs():
+            await self._wait_for_connections(servers, CLOSE_TIMEOUT_S / 4)
+
+    async def _wait_for_connections(self, servers: Sequence[HttpServer], timeout_s: float) -> None:
+        """Wait until all connections of clients are closed, or until a timeout."""
+        with anyio.move_on_after(timeout_s):
             while any(server.started and server.server_state.connections for server in servers):
                 await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
 
--- /dev/null
+++ b/packages/dispatch/tests/test_front.py
@@ -0,0 +1,134 @@
+"""Answers of the HTTP interface for clients."""
+
+from collections.abc import Sequence
+from types import SimpleNamespace
+from typing import Any, cast
+
+import anyio
+import pytest
+from result import Ok
+
+from redwingport_dispatch.front import JobApi
+from redwingport_dispatch.holder import Holder, Job, JobEnd, Outcome
+from redwingport_dispatch.interfaces import (
+    Configuration,
+    JobRequest,
+    JobState,
+    Route,
+    StepRequest,
+    TaskShape,
+)
+from redwingport_dispatch.routes import RouteTable
+
+pytestmark = pytest.mark.anyio
+
+ROUTE = Route("queue", "host", "/", "desk", 0, 3, 1.6, 0.06, 0.0)
+PATH = "/0000000000000001"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Formats:
+    """Accept any body as a job of one task."""
+
+    def decode_job(self, body: bytes) -> Ok[JobRequest]:
+        return Ok(JobRequest("", (StepRequest(1, TaskShape(1000, 64, 0, 0.1)),)))
+
+    def client_timeout_s(self, headers: Sequence[tuple[bytes, bytes]]) -> float:
+        return 10.0
+
+    def encode_state(self, state: JobState) -> bytes:
+        return state.encode()
+
+
+class JobHolder:
+    """Run each job until it is released."""
+
+    def __init__(self) -> None:
+        self.started = anyio.Event()
+        self.release = anyio.Event()
+        self.was_cancelled = False
+
+    async def run(self, job: Job) -> JobEnd:
+        self.started.set()
+        try:
+            await self.release.wait()
+        except BaseException:
+            self.was_cancelled = True
+            raise
+        return JobEnd(Outcome.COMPLETE, "")
+
+
+class Client:
+    """Send the messages of one request to the application and collect its answer."""
+
+    def __init__(self, front: JobApi, *messages: dict[str, Any]) -> None:
+        self._front = front
+        self._messages = list(messages)
+        self.answer: list[Any] = []
+
+    async def submit(self) -> None:
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": PATH,
+            "headers": [(b"host", b"host")],
+        }
+        await self._front(scope, self._receive, self._send)
+
+    async def _receive(self) -> dict[str, Any]:
+        if not self._messages:
+            await anyio.sleep_forever()
+        return self._messages.pop(0)
+
+    async def _send(self, message: Any) -> None:
+        self.answer += [message.get("status"), message.get("body")]
+
+
+REQUEST = {"type": "http.request", "body": b"{}"}
+PARTIAL_REQUEST = {"type": "http.request", "body": b"{", "more_body": True}
+DISCONNECT = {"type": "http.disconnect"}
+
+
+def make_front(holder: JobHolder) -> JobApi:
+    state = SimpleNamespace(
+        draining=False, configuration=Configuration(1, (ROUTE,), 100), routes=RouteTable([ROUTE])
+    )
+    return JobApi(cast(Any, state), cast(Holder, holder), cast(Any, Formats()))
+
+
+async def test_job_is_answered_with_its_state() -> None:
+    holder = JobHolder()
+    holder.release.set()
+    client = Client(make_front(holder), REQUEST)
+    await client.submit()
+    assert client.answer == [200, None, None, b"complete"]
+
+
+# Guards against a 500, which clients don't repeat, for a job that the end of its process cuts off.
+async def test_open_job_of_a_process_that_ends_is_answered_as_unknown() -> None:
+    holder = JobHolder()
+    front = make_front(holder)
+    client = Client(front, REQUEST)
+    assert not front.abandon_jobs()
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as group:
+            group.start_soon(client.submit)
+            await holder.started.wait()
+            assert front.abandon_jobs()
+    assert holder.was_cancelled
+    assert client.answer == [504, None, None, b"{}"]
+
+
+# Guards against jobs that are started and cut off shortly afterwards.
+async def test_job_is_refused_after_the_drain() -> None:
+    holder = JobHolder()
+    front = make_front(holder)
+    front.refuse_jobs()
+    client = Client(front, REQUEST)
+    await client.submit()
+    assert client.answer == [503, None, None, b"{}"]
+    assert not holder.started.is_set()
