--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -6,6 +6,8 @@
 import struct
 import subprocess
 import sys
+import threading
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, closing
 from typing import Any
@@ -14,6 +16,7 @@
 import pytest
 from anyio.to_thread import run_sync
 
+from redwingport_entry import http_server
 from redwingport_entry.http_server import Listener, build_server
 from redwingport_entry.logs import ROOT
 from redwingport_testbed.cluster.raw import answer_of, read_to_end
@@ -61,12 +64,14 @@
 anyio.run(main)
 """
 
+CLOSING_REQUEST = b"GET /jobs/ HTTP/1.1\r\nhost: desk.example" + CLOSE
+
 App = Callable[[Any, Any, Any], Awaitable[None]]
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: pytest.FixtureRequest) -> tuple[str, dict[str, object]]:
+    return "asyncio", {"use_uvloop": request.param}
 
 
 @asynccontextmanager
@@ -206,6 +211,22 @@
     assert answer == b""
 
 
+async def fail_after_the_answer(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"content-length", b"%d" % len(BODY))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": BODY})
+    raise RuntimeError("too late")
+
+
+# Guards against connections that stay open after an application failed.
+async def test_connection_is_closed_when_the_application_fails_after_its_answer(
+    free_tcp_port: int,
+) -> None:
+    async with serving(fail_after_the_answer, free_tcp_port):
+        answer, _ = await run_sync(answer_of, free_tcp_port, REQUEST)
+    assert answer.endswith(BODY)
+
+
 async def stream_parts(scope: Any, receive: Any, send: Any) -> None:
     await receive()
     await send({"type": "http.response.start", "status": 200, "headers": []})
@@ -254,6 +275,180 @@
     assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(BODY)
 
 
+# uvloop writes after the application has passed the answer on, so the two cannot be ordered there.
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_answer_that_cannot_be_written_is_logged(
+    free_tcp_port: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, ROOT)
+    has_left = threading.Event()
+    may_leave = threading.Event()
+
+    async def answer_late(scope: Any, receive: Any, send: Any) -> None:
+        may_leave.set()
+        # Blocks the event loop, so that the write comes before the end of the connection.
+        assert has_left.wait(TIMEOUT_S)
+        headers = [(b"content-length", b"%d" % len(BODY))]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": BODY})
+
+    def send_and_leave() -> None:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(REQUEST)
+            assert may_leave.wait(TIMEOUT_S)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        has_left.set()
+
+    async with serving(answer_late, free_tcp_port):
+        await run_sync(send_and_leave)
+        logged = await wait_for_event(caplog, "answer-cut")
+    assert logged["partial"] and logged["reason"] == "ConnectionResetError"
+
+
+def numbered_request(number: int, body: bytes = b"{}") -> bytes:
+    head = b"POST /jobs/%016x HTTP/1.1\r\nhost: desk.example\r\n" % number
+    return head + b"content-length: %d\r\n\r\n%b" % (len(body), body)
+
+
+async def refuse_with_close(scope: Any, receive: Any, send: Any) -> None:
+    headers = [(b"content-length", b"2"), (b"connection", b"close")]
+    await send({"type": "http.response.start", "status": 413, "headers": headers})
+    await send({"type": "http.response.body", "body": b"{}"})
+
+
+# Guards against answers that a client loses as the server resets a connection with unread input.
+@pytest.mark.parametrize(
+    "app, first, status",
+    [
+        (refuse_with_close, numbered_request(1, b"x" * LARGE_BYTES)[:100], 413),
+        (answer_with_length, REQUEST, 200),
+        (answer_with_length, b"GET /" + b"x" * 70_000, 431),
+        (answer_with_length, b"no request\r\n\r\n", 400),
+    ],
+)
+async def test_client_that_still_sends_receives_its_answer_and_no_reset(
+    free_tcp_port: int, monkeypatch: pytest.MonkeyPatch, app: App, first: bytes, status: int
+) -> None:
+    monkeypatch.setattr(http_server, "LINGER_S", TIMEOUT_S)
+
+    def exchange() -> bytes:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(first)
+            # The answer is sent before the rest of the input arrives.
+            sock.recv(1, socket.MSG_PEEK)
+            sock.sendall(b"x" * LARGE_BYTES)
+            received = b""
+            while chunk := sock.recv(65536):
+                received += chunk
+            return received
+
+    async with serving(app, free_tcp_port):
+        answer = await run_sync(exchange)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+
+
+async def test_connection_of_a_client_that_does_not_close_it_is_closed(
+    free_tcp_port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_server, "LINGER_S", 0.1)
+
+    def send_until_it_fails() -> None:
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(REQUEST)
+            while True:
+                sock.sendall(b"x")
+                time.sleep(0.01)
+
+    async with serving(answer_with_length, free_tcp_port):
+        with pytest.raises(OSError):
+            await run_sync(send_until_it_fails)
+
+
+class PathApp:
+    """Answer with the path; the first request waits until it is released or disconnected."""
+
+    def __init__(self) -> None:
+        self.release = anyio.Event()
+        self.first_started = anyio.Event()
+        self.first_disconnected = anyio.Event()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        while (await receive())["more_body"]:
+            pass
+        if scope["path"].endswith("1"):
+            self.first_started.set()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch, scope, receive, send, group.cancel_scope)
+                await self.release.wait()
+                group.cancel_scope.cancel()
+        if not self.first_disconnected.is_set():
+            body = scope["path"].encode()
+            headers = [(b"content-length", b"%d" % len(body))]
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            await send({"type": "http.response.body", "body": body})
+
+    async def _watch(self, scope: Any, receive: Any, send: Any, first: anyio.CancelScope) -> None:
+        await wait_for_disconnect(scope, receive, send)
+        self.first_disconnected.set()
+        first.cancel()
+
+
+def paths(answers: bytes) -> list[bytes]:
+    return [answer.partition(b"\r\n\r\n")[2] for answer in answers.split(b"HTTP/1.1 200 ")[1:]]
+
+
+async def test_pipelined_answers_belong_to_their_requests(free_tcp_port: int) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(numbered_request(1) + numbered_request(2))
+            await app.first_started.wait()
+            # More than are read ahead.
+            for number in range(3, 30):
+                await run_sync(sock.sendall, numbered_request(number, b"x" * 10_000))
+            app.release.set()
+            received = b""
+            while len(paths(received)) < 29 or not received.endswith(b"1d"):
+                received += await run_sync(sock.recv, 65536)
+    assert paths(received) == [b"/jobs/%016x" % number for number in range(1, 30)]
+
+
+# Guards against an answer that is lost because the input after its request is refused.
+@pytest.mark.parametrize("after", [b"no request\r\n\r\n", b"GET /" + b"x" * 70_000])
+async def test_request_before_malformed_input_is_answered(
+    free_tcp_port: int, after: bytes
+) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(numbered_request(1))
+            await app.first_started.wait()
+            sock.sendall(after)
+            # Gives the server time to read the input before.
+            await run_sync(answer_of, free_tcp_port, CLOSING_REQUEST)
+            app.release.set()
+            answer = await run_sync(read_to_end, sock)
+    assert paths(answer)[0].startswith(b"/jobs/%016x" % 1)
+
+
+# Guards against jobs that go on after a client has left that had sent a second request.
+@pytest.mark.parametrize("at_once", [True, False])
+async def test_request_in_progress_sees_the_disconnect_of_a_pipelining_client(
+    free_tcp_port: int, at_once: bool
+) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            if at_once:
+                sock.sendall(numbered_request(1) + numbered_request(2))
+                await app.first_started.wait()
+            else:
+                sock.sendall(numbered_request(1))
+                await app.first_started.wait()
+                sock.sendall(numbered_request(2))
+        await app.first_disconnected.wait()
+
+
 def start_program(port: int, mode: str) -> subprocess.Popen[bytes]:
     program = subprocess.Popen(
         [sys.executable, "-c", PROGRAM, str(port), mode], stdout=subprocess.PIPE
