Refuse heartbeats with terms that can't be exceeded

Found by a test, not seen in operation: after one heartbeat with a term of 2^64 - 1, a process gives its next shard a term that msgpack can't represent, so that none of its heartbeats can be sent until it is restarted. Tokens above 2^53 - 1 aren't exact in the orders to servers either. Cause: terms and revisions in messages had no maximum, nor had new terms; only raised tokens had. Change: terms and revisions have at most 53 bits in heartbeats and layouts; other heartbeats end their connection, as invalid messages do. New terms stop at the maximum, which the clock reaches in the year 2248. The maximum moved to the messages (MAX_TOKEN is MAX_TERM now; the test of raised tokens is unchanged otherwise).

--- a/packages/dispatch/src/redwingport_dispatch/ownership/terms.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/terms.py
@@ -1,26 +1,26 @@
 """Terms, which order the owners of a shard, and the fencing tokens derived from them."""
 
+from redwingport_messages.dispatch import MAX_TERM
+
 # Number of low bits that distinguish terms started by several processes in the same millisecond.
 TAG_BITS = 10
-# Largest integer that all JSON implementations represent exactly.
-MAX_TOKEN = 2**53 - 1
 # First increment of a contested token, in milliseconds of the clock part of a term; it doubles
 # each time. The clock from which the higher token was derived may be ahead by seconds.
 INITIAL_RAISE_MS = 1000
 
 
 def new_term(unix_ms: int, tag: int, highest_seen: int) -> int:
-    """Return a term that is higher than all terms seen so far.
+    """Return a term that is higher than all terms seen so far, up to the maximum.
 
     :param unix_ms: Unix time in milliseconds; it may be wrong or have stepped back.
     :param tag: number of the process; only its low bits are used.
     :param highest_seen: highest known term.
     """
     low_bits = tag % (1 << TAG_BITS)
-    clock_term = (unix_ms << TAG_BITS) | low_bits
-    if clock_term > highest_seen:
-        return clock_term
-    return (((highest_seen >> TAG_BITS) + 1) << TAG_BITS) | low_bits
+    term = (unix_ms << TAG_BITS) | low_bits
+    if term <= highest_seen:
+        term = (((highest_seen >> TAG_BITS) + 1) << TAG_BITS) | low_bits
+    return min(term, MAX_TERM)
 
 
 def raise_token(token: int, previous_raises: int) -> int:
@@ -30,4 +30,4 @@
     :param previous_raises: number of times that the token was raised before.
     """
     step = (INITIAL_RAISE_MS << min(previous_raises, 20)) << TAG_BITS
-    return min(token + step, MAX_TOKEN)
+    return min(token + step, MAX_TERM)
--- a/packages/dispatch/tests/test_election.py
+++ b/packages/dispatch/tests/test_election.py
@@ -14,8 +14,8 @@
     TAKEOVER_STAGGER_S,
     Election,
 )
-from redwingport_dispatch.ownership.terms import MAX_TOKEN, new_term, raise_token
-from redwingport_messages.dispatch import Presence
+from redwingport_dispatch.ownership.terms import new_term, raise_token
+from redwingport_messages.dispatch import MAX_TERM, Presence
 
 UNIX_MS = 1_790_000_000_000
 
@@ -206,11 +206,19 @@
     assert new_term(UNIX_MS - 5_000, 3, seen) > seen
 
 
+# Guards against a process that can't send its heartbeats, as its term exceeds what they hold.
+@pytest.mark.parametrize("seen", [MAX_TERM - 1024, MAX_TERM])
+def test_new_term_after_the_highest_one_can_be_sent(seen: int) -> None:
+    term = new_term(UNIX_MS, 7, seen)
+    assert seen <= term <= MAX_TERM
+    assert new_term(1 << 60, 7, 0) == MAX_TERM
+
+
 def test_raised_tokens_grow_and_stay_exact_in_json() -> None:
     token = new_term(UNIX_MS, 7, 0)
     for times in range(60):
         raised = raise_token(token, times)
-        assert token < raised <= MAX_TOKEN or token == MAX_TOKEN
+        assert token < raised <= MAX_TERM or token == MAX_TERM
         token = raised
 
 
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -12,8 +12,12 @@
 
 # Maximum number of shards; a process keeps some state for each and goes over all of them.
 MAX_SHARDS = 4096
+# Largest term and revision: the largest integer that all JSON implementations represent exactly.
+# Terms are tokens in orders to servers, and revisions are stored.
+MAX_TERM = 2**53 - 1
 _STRICT = ConfigDict(strict=True, allow_inf_nan=False)
 Count = Annotated[int, Field(ge=0)]
+Term = Annotated[int, Field(ge=0, le=MAX_TERM)]
 TaskEvent = Literal["placed", "done", "failed"]
 
 
@@ -45,14 +49,14 @@
     domain: str
     address: str
     weight: Count
-    term: Count
+    term: Term
     shards: Count
-    layout_revision: Count
-    owned_terms: list[tuple[Count, Count]]
+    layout_revision: Term
+    owned_terms: list[tuple[Count, Term]]
     heartbeat_ms: Count
     draining: bool
     hears_you: bool
-    configuration_revision: Count
+    configuration_revision: Term
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -210,7 +214,7 @@
     :param sizes: processor capacity of each shard, in thousandths of a core.
     """
 
-    revision: Annotated[int, Field(ge=1)]
+    revision: Annotated[int, Field(ge=1, le=MAX_TERM)]
     sizes: Annotated[list[Count], Field(min_length=1, max_length=MAX_SHARDS)]
 
 
--- a/packages/messages/tests/test_frames.py
+++ b/packages/messages/tests/test_frames.py
@@ -1,11 +1,20 @@
 """Tests of the encoding and decoding of frames."""
 
+import dataclasses
+
 import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from redwingport_messages.dispatch import MAX_SHARDS, CancelWork, LayoutAnswer, TaskNews
+from redwingport_messages.dispatch import (
+    MAX_SHARDS,
+    MAX_TERM,
+    CancelWork,
+    LayoutAnswer,
+    Presence,
+    TaskNews,
+)
 from redwingport_messages.exceptions import MessageError
 from redwingport_messages.frames import (
     LENGTH_BYTES,
@@ -57,3 +66,18 @@
         decode_frame(body, "peer")
     message = LayoutAnswer(5, [1] * MAX_SHARDS)
     assert decode_frame(encode_frame(message)[LENGTH_BYTES:], "peer") == message
+
+
+@pytest.mark.parametrize("term", [2**53, 2**63 - 1, 2**64 - 1])
+@pytest.mark.parametrize("field", ["term", "owned_terms", "layout_revision"])
+def test_heartbeat_with_a_term_out_of_range_is_refused(field: str, term: int) -> None:
+    """Guard against a term that no process can exceed, or send in its own heartbeats."""
+    presence = Presence(
+        "a", 1, "vm", "d", "127.0.0.1:1", 1, MAX_TERM, 2, 3, [], 150, False, True, 1
+    )
+    values = {f.name: getattr(presence, f.name) for f in dataclasses.fields(presence)}
+    body = encode_frame(presence)[LENGTH_BYTES:]
+    assert decode_frame(body, "peer") == presence
+    values[field] = [[0, term]] if field == "owned_terms" else term
+    with pytest.raises(MessageError):
+        decode_frame(msgpack.packb((14, *values.values())), "peer")
