Send no refusal to a client that left before the end of its body

A connection that ended within the body of a request was taken for a body that is too large, so that the application answered 413.

The new test got [413, None, None, b'{}'] before.

--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol
 
 import anyio
-from result import Err
+from result import Err, Ok, Result
 
 from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.holder import Holder, Job, JobEnd, Outcome, response_target_s
@@ -102,15 +102,15 @@
             return
         received_at = current_time()
         body = await self._read_body(receive)
-        if body is None:
-            response: Response | None = Response(413)
+        if isinstance(body, Err):
+            response = body.err_value
         else:
-            response = await self._respond(scope, receive, body, received_at)
+            response = await self._respond(scope, receive, body.ok_value, received_at)
         if response is not None:
             await self._send(send, response)
 
-    async def _read_body(self, receive: Receive) -> bytes | None:
-        """Return the body, or None when it is too large or the client has disconnected."""
+    async def _read_body(self, receive: Receive) -> Result[bytes, Response | None]:
+        """Return the body, or the answer to it: None when the client has disconnected."""
         configuration = self._state.configuration
         limit = configuration.max_body_bytes if configuration is not None else 0
         chunks: list[bytes] = []
@@ -118,14 +118,14 @@
         while True:
             message = await receive()
             if message["type"] != "http.request":
-                return None
+                return Err(None)
             chunk = message.get("body", b"")
             size += len(chunk)
             if limit and size > limit:
-                return None
+                return Err(Response(413))
             chunks.append(chunk)
             if not message.get("more_body"):
-                return b"".join(chunks)
+                return Ok(b"".join(chunks))
 
     async def _respond(
         self, scope: Scope, receive: Receive, body: bytes, received_at: float
--- a/packages/dispatch/tests/test_front.py
+++ b/packages/dispatch/tests/test_front.py
@@ -108,6 +108,19 @@
     assert client.answer == [200, None, None, b"complete"]
 
 
+async def test_body_that_is_too_large_is_refused() -> None:
+    client = Client(make_front(JobHolder()), {"type": "http.request", "body": b"x" * 101})
+    await client.submit()
+    assert client.answer == [413, None, None, b"{}"]
+
+
+# Guards against an answer about the size of a body whose client has left.
+async def test_client_that_leaves_before_the_end_of_its_body_is_not_answered() -> None:
+    client = Client(make_front(JobHolder()), PARTIAL_REQUEST, DISCONNECT)
+    await client.submit()
+    assert client.answer == []
+
+
 # Guards against a 500, which clients don't repeat, for a job that the end of its process cuts off.
 async def test_open_job_of_a_process_that_ends_is_answered_as_unknown() -> None:
     holder = JobHolder()
