Look for the run that the holder names, not for an earlier one

Callers saw: tasks could run twice at a time after a change of owner.

Cause: an owner that knew an earlier run of a task, whose end it hadn't been told because another owner had its server meanwhile, waited for that run only. The run that the holder named was ignored, and so was its listing by its server, as the name of the task was taken. When the earlier run was gone from its server, the task was started beside the named one.

Change: the task waits for the server of the later run. An unclaimed run is forgotten when a server lists a later run of its task.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -296,7 +296,8 @@
         task.next_run = max(task.next_run, run.number + 1)
         task.earlier_run = run
         task.state = TaskState.BLOCKED
-        task.blocked_on = run.server_id
+        told_server, told_number = task.last_run
+        task.blocked_on = told_server if told_number > run.number else run.server_id
         self._blocked.add(work)
 
     def _displace_older(self, work: Work, now: float) -> bool:
@@ -631,7 +632,12 @@
             listed = listed_by_task.get(run.task_name)
             self._reconcile_run(run, listed, report.clock_ms, sent_at, now)
         for listed in report.runs:
-            if listed.task not in self.run_by_task:
+            known = self.run_by_task.get(listed.task)
+            if known is not None and known.work is None and listed.number > known.number:
+                # Another owner knew that the earlier run was over when it ordered this one.
+                self._forget_run(known, RunOver.NOT_LISTED)
+                known = None
+            if known is None:
                 self._add_reported_run(server, listed.task, listed.number, now)
         server.observe_progress(now)
         self._relocate_late_runs(server, now)
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -1,10 +1,17 @@
 """Work items that are submitted again, and submissions that share the id of a job."""
 
 import pytest
-from scheduling_fakes import SchedulerHarness
-
-from redwingport_dispatch.interfaces import EndKind, RunEnd, RunListing, ServerReport
+from scheduling_fakes import SERVICE, SchedulerHarness
+
+from redwingport_dispatch.interfaces import (
+    EndKind,
+    RunEnd,
+    RunListing,
+    ServerReport,
+    TaskShape,
+)
 from redwingport_dispatch.scheduling.admission import ID_IN_USE
+from redwingport_dispatch.scheduling.work import Task, Work
 
 
 # Guards against a job that is given up at the deadline of a client that has left, while another
@@ -198,3 +205,47 @@
     harness.scheduler.cancel(third.key, harness.now)
     harness.submit("job", holder="four", more_offers=True)
     assert len(harness.effects.started) == 2
+
+
+# Guards against a second run of a task that another owner has started, while this one still knows
+# an earlier run of it, whose end it was not told.
+@pytest.mark.parametrize("early", [False, True])
+def test_resumed_task_adopts_the_run_that_followed_one_known_here(early: bool) -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    dropped = harness.submit("job", holder="one")
+    harness.accept_all()
+    [stale] = harness.effects.started
+    harness.scheduler.cancel(dropped.key, harness.now)
+    other = {"s0": "s1", "s1": "s0"}[stale.server_id]
+    harness.scheduler.server_by_id[other].acquired = False
+    runs = (RunListing("job.0.0.0", 2, 10),)
+    report = ServerReport(harness.clock_ms, runs=runs)
+
+    def submit() -> None:
+        work = Work(
+            holder="two",
+            work_id=100,
+            job_id="job",
+            step=0,
+            service=SERVICE,
+            spec="",
+            shape=TaskShape(7000, 64, 0, 0.2),
+            priority=0,
+            attempts=3,
+            received_at=harness.now,
+            target_at=harness.now + 5,
+            deadline_at=harness.now + 9,
+            identity="identity",
+            task_by_index={0: Task(0, 3, last_run=(other, 2))},
+        )
+        harness.scheduler.submit(work, {0: other}, True, harness.now, 0.8)
+
+    if early:
+        harness.scheduler.handle_report(other, report, harness.now, [], harness.now)
+    submit()
+    harness.end(stale, EndKind.STOPPED)
+    if not early:
+        harness.scheduler.handle_report(other, report, harness.now, [], harness.now)
+    harness.advance(0.05)
+    assert harness.effects.started == [stale]
+    assert harness.effects.events.count("run-adopted") == 1
