Give jobs with one id different identities in the scheduler's state machine

Change: the state machine submits jobs with the same id and one of two identities. A new invariant asks that a task is reported as done only for the job whose run has completed it.

The invariant about refusals compared the ids of refused jobs with those of the starts that were not delivered yet.

With a scheduler that takes any run with an identity for its own job's, it fails with `assert {('job1.0.0.0', 1, 'x')} <= {('job1.0.0.0', 1, 'y')}`.

--- a/packages/dispatch/tests/test_scheduler_machine.py
+++ b/packages/dispatch/tests/test_scheduler_machine.py
@@ -1,5 +1,6 @@
 """State machine test: lost, late or reordered orders never make a task run twice at a time."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from hypothesis import settings
@@ -16,19 +17,57 @@
     ServerReport,
     TaskShape,
 )
+from redwingport_dispatch.scheduling.history import STARTED_JOB_TTL_S
 from redwingport_dispatch.scheduling.scheduler import Scheduler
-from redwingport_dispatch.scheduling.work import Run, Task, Work
+from redwingport_dispatch.scheduling.work import Run, Task, Work, WorkKey
 
 CPU_MILLIS = 14000
+# Name of a task, number of a run, and identity of the job of the run.
+OwnedRun = tuple[str, int, str]
 LEASE_S = BOUNDS.lease_s
 
 
+@dataclass
+class IdentifiedEffects(RecordedEffects):
+    """Record for which jobs tasks were started, reported as done or refused.
+
+    :param now: present time, in seconds.
+    :param done_runs: runs that were reported to have completed their tasks.
+    :param wrong_refusals: refused work items of jobs that had started, or that started later.
+    """
+
+    now: float = 0.0
+    done_runs: set[OwnedRun] = field(default_factory=set)
+    wrong_refusals: list[Work] = field(default_factory=list)
+    _started_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    _refused: set[WorkKey] = field(default_factory=set)
+
+    def start(self, run: Run, work: Work) -> None:
+        super().start(run, work)
+        self._started_at[work.job_id, work.identity] = self.now
+        if work.key in self._refused:
+            self.wrong_refusals.append(work)
+
+    def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
+        self.done_runs.add((work.task_name(task.index), run_number, work.identity))
+
+    def refuse(
+        self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
+    ) -> None:
+        self._refused.add(work.key)
+        started_at = self._started_at.get((work.job_id, work.identity))
+        if started_at is not None and self.now < started_at + STARTED_JOB_TTL_S:
+            self.wrong_refusals.append(work)
+
+
 @dataclass
 class ModelServer:
     """Model what actually runs on a server, independent of the scheduler's view."""
 
     server_id: str
     running: dict[str, int] = field(default_factory=dict)
+    identity_by_task: dict[str, str] = field(default_factory=dict)
+    done_runs: set[OwnedRun] = field(default_factory=set)
     highest_stopped: dict[str, int] = field(default_factory=dict)
     ends: list[RunEnd] = field(default_factory=list)
     acknowledged: int = 0
@@ -45,6 +84,7 @@
             return self.running[run.task_name] == run.number
         self.lease_ends_at = max(self.lease_ends_at, min(sent_at, now) + LEASE_S)
         self.running[run.task_name] = run.number
+        self.identity_by_task[run.task_name] = run.identity
         return True
 
     def stop(self, run: Run) -> None:
@@ -55,6 +95,8 @@
 
     def end(self, task: str, kind: EndKind) -> None:
         number = self.running.pop(task)
+        if kind is EndKind.DONE:
+            self.done_runs.add((task, number, self.identity_by_task[task]))
         highest = self.highest_stopped.get(task, 0)
         self.highest_stopped[task] = max(highest, number)
         self.sequence += 1
@@ -74,7 +116,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.effects = RecordedEffects()
+        self.effects = IdentifiedEffects(now=100.0)
+        self.done_runs: set[OwnedRun] = set()
         self.scheduler = Scheduler(self.effects, BOUNDS)
         self.now = 100.0
         self.model_by_id = {name: ModelServer(name) for name in ("s0", "s1")}
@@ -94,8 +137,13 @@
         self.starts += [(run, self.now) for run in self.effects.started]
         self.effects.started.clear()
 
-    @rule(tasks=st.integers(1, 3), again=st.booleans(), holder=st.sampled_from("ab"))
-    def submit(self, tasks: int, again: bool, holder: str) -> None:
+    @rule(
+        tasks=st.integers(1, 3),
+        again=st.booleans(),
+        holder=st.sampled_from("ab"),
+        identity=st.sampled_from("xxy"),
+    )
+    def submit(self, tasks: int, again: bool, holder: str, identity: str) -> None:
         if again and self.works:
             job_id = self.works[-1].job_id
         else:
@@ -114,6 +162,7 @@
             received_at=self.now,
             target_at=self.now + 5,
             deadline_at=self.now + 10,
+            identity=identity,
             task_by_index={index: Task(index) for index in range(tasks)},
         )
         self.works.append(work)
@@ -164,6 +213,7 @@
         """Answer a lease renewal, which extends the lease of all runs on the server."""
         model = self.model_by_id[name]
         model.lapse(self.now)
+        self.done_runs |= model.done_runs
         server = self.scheduler.server_by_id[name]
         if server.run_by_task:
             model.lease_ends_at = max(model.lease_ends_at, self.now + LEASE_S)
@@ -207,9 +257,23 @@
             self.scheduler.cancel((holder, work_id), self.now)
         self.collect()
 
+    @precondition(lambda self: any(model.running for model in self.model_by_id.values()))
+    @rule(data=st.data())
+    def give_up_when_done(self, data: st.DataObject) -> None:
+        """Cancel a work item of which a run ends before the stop order arrives."""
+        busy = [model for model in self.model_by_id.values() if model.running]
+        model = data.draw(st.sampled_from(busy))
+        task = data.draw(st.sampled_from(sorted(model.running)))
+        run = self.scheduler.run_by_task.get(task)
+        if run is not None and run.work is not None:
+            self.scheduler.cancel(run.work.key, self.now)
+        model.end(task, EndKind.DONE)
+        self.report(model.server_id)
+
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 1.2]))
     def advance(self, seconds: float) -> None:
         self.now += seconds
+        self.effects.now = self.now
         for model in self.model_by_id.values():
             model.lapse(self.now)
         self.scheduler.tick(self.now)
@@ -222,9 +286,11 @@
 
     @invariant()
     def nothing_that_has_started_is_refused(self) -> None:
-        refused = {job_id for job_id, _, _ in self.effects.refused}
-        started = {run.task_name.partition(".")[0] for run, _ in self.starts}
-        assert not refused & started
+        assert not self.effects.wrong_refusals
+
+    @invariant()
+    def tasks_are_completed_by_runs_of_their_own_job_only(self) -> None:
+        assert self.effects.done_runs <= self.done_runs
 
     @invariant()
     def room_is_counted_right(self) -> None:
