Give up tasks that crash the servers on which they run

Callers saw 504 at their deadline, or no answer, for a job one of whose tasks ends the server that starts it. Meanwhile the task was started on server after server, and each crash took the runs of other jobs with it.

Cause: the scheduler counts the failed runs that servers report. A server that crashes reports nothing: its runs were requeued after a restart, a removal or the end of the lease, without a trace, and a resubmission of the job began anew.

A crash log of the process now records, by task, the lifetimes of the servers that crashed while a run was there. Lifetimes rather than a number, so that a crash that several processes report counts once. Evidence is a new lifetime at the server, another server at its address, the removal of its row while it does not answer, or a machine that refuses connections for 0.1 s after contact was lost. The client tells refused connections apart from others that cannot be opened. Runs count that were there when contact was lost, also if they were presumed over since. A server that drains does not count, and one that answers again with the same lifetime is acquitted.

A task with such a record is a suspect. Its next run is alone on a server, so that a second crash harms no other job and is conclusive. Of several suspects of one job, one is tried first. A suspect that ends normally is cleared; one under which two servers have crashed, one of them while it was alone, or three in any case, fails its job at once, as does a resubmission of the job while the record lasts. The log outlives the owner; a process sends its new crashes to its peers, and all of them on a new link.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -264,6 +264,21 @@
         "a lease renewal failed: the server did not answer, or rejected it",
         ("server", "step", "reason"),
     ),
+    LogEvent(
+        "server-crashed",
+        _O,
+        "a server has restarted, was removed while it did not answer, or its machine refuses "
+        "connections; `tasks` lists the tasks that were there, `crashes` the number of servers "
+        "that have crashed under each, and `alone` tells whether there was only one",
+        ("server", "born_ms", "evidence", "tasks", "crashes", "alone", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "task-given-up",
+        _O,
+        "a job fails because one of its tasks has crashed the listed servers; `alone` tells for "
+        "each whether nothing else ran there",
+        ("job", "task", "servers", "alone", *OWNER_FIELDS),
+    ),
     LogEvent(
         "server-regained",
         _O,
--- a/packages/dispatch/src/redwingport_dispatch/exceptions.py
+++ b/packages/dispatch/src/redwingport_dispatch/exceptions.py
@@ -24,6 +24,8 @@
     """The server rejects the order as invalid."""
     NOT_SENT = enum.auto()
     """No connection could be opened, so the server did not receive the order."""
+    REFUSED = enum.auto()
+    """The machine of the server refused the connection: nothing listens at the address."""
     NO_ANSWER = enum.auto()
     """No answer arrived in time; the order may still be executed."""
 
--- a/packages/dispatch/src/redwingport_dispatch/metrics.py
+++ b/packages/dispatch/src/redwingport_dispatch/metrics.py
@@ -95,6 +95,11 @@
             ("shard",),
             registry=self.registry,
         )
+        self.crashed_runs = Counter(
+            "redwingport_crashed_runs",
+            "Runs during which their server crashed, as observed by the owners in this process",
+            registry=self.registry,
+        )
         self.configuration_revision = Gauge(
             "redwingport_configuration_revision",
             "Revision of the configuration in force",
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -10,6 +10,7 @@
 from redwingport_dispatch.clock import current_time
 from redwingport_dispatch.interfaces import ServerClientFactory, ServerListing, TaskShape
 from redwingport_dispatch.metrics import Metrics
+from redwingport_dispatch.scheduling.crashes import CrashLog
 from redwingport_dispatch.scheduling.placement import Placement
 from redwingport_dispatch.scheduling.scheduler import Scheduler
 from redwingport_dispatch.scheduling.work import Run, Task, TaskState, Work
@@ -55,6 +56,7 @@
     :param note_token: called with each raised token.
     :param send_notification: sends a notification to a holder.
     :param metrics: metrics of the process.
+    :param crash_log: crashes of servers that the process knows of; None for an empty log.
     """
 
     def __init__(
@@ -69,11 +71,14 @@
         note_token: Callable[[int], None],
         send_notification: Callable[[str, Notification], None],
         metrics: Metrics,
+        crash_log: CrashLog | None = None,
     ) -> None:
         self.term = term
         # During a burst, many reports and work items arrive in one iteration of the event loop. A
         # pass over the queue for each of them would take most of the processor time.
-        self.scheduler = Scheduler(self, settings.bounds, settled_at, self._request_dispatch)
+        self.scheduler = Scheduler(
+            self, settings.bounds, settled_at, self._request_dispatch, crash_log
+        )
         for listing in listing_by_id.values():
             self.scheduler.set_server(listing)
         self._shard = shard
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -31,6 +31,7 @@
 from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, shard_of
 from redwingport_dispatch.peers import Mesh
 from redwingport_dispatch.routes import RouteTable
+from redwingport_dispatch.scheduling.crashes import Crash, CrashLog, Lifetime
 from redwingport_dispatch.scheduling.scheduler import ORPHAN_GRACE_S
 from redwingport_dispatch.settings import Settings
 from redwingport_dispatch.watchers import (
@@ -50,6 +51,7 @@
     LayoutQuery,
     Presence,
     ReleaseWork,
+    ServerCrashes,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -137,6 +139,7 @@
         self._timeout_changed = anyio.Event()
         self._sequence = itertools.count(1)
         self._owner_by_shard: dict[int, Owner] = {}
+        self._crash_log = CrashLog(self._announce_crashes, self._announce_survivor)
         self._drain_started = anyio.Event()
         self.holder = Holder(
             self.incarnation,
@@ -315,6 +318,7 @@
     def _update_owners(self) -> None:
         """Determine the owners of the shards, and apply changes."""
         now = current_time()
+        self._crash_log.prune(now)
         reachable = {peer.incarnation for peer in self._election.reachable_peers(now)}
         lost = self._reachable_peers - reachable
         self._reachable_peers = reachable
@@ -376,6 +380,7 @@
             self._election.note_token,
             self._send_notification,
             self.metrics,
+            self._crash_log,
         )
         self._owner_by_shard[shard] = owner
         for record in self._directory.others or ():
@@ -472,6 +477,8 @@
                 self._mesh.send(sender, ConfigurationAnswer(current.revision, current.document))
         elif isinstance(message, ConfigurationAnswer):
             self._configuration.offer_document(message.document, sender)
+        elif isinstance(message, ServerCrashes):
+            self._handle_crashes(sender, message)
         else:
             log_event(logger, logging.WARNING, "message-unexpected", kind=type(message).__name__)
 
@@ -552,6 +559,41 @@
     def _handle_link(self, incarnation: str) -> None:
         """Resubmit the work items of an owner, as a broken link may have lost messages."""
         self.holder.resubmit(incarnation)
+        crashes = self._crash_log.all_crashes()
+        if crashes:
+            self._mesh.send(incarnation, _encode_crashes(crashes))
+
+    # Crashes of servers
+
+    def _announce_crashes(self, crashes: Sequence[Crash]) -> None:
+        self.metrics.crashed_runs.inc(len(crashes))
+        self._send_to_peers(_encode_crashes(crashes))
+
+    def _announce_survivor(self, lifetime: Lifetime) -> None:
+        self._send_to_peers(ServerCrashes([], [(lifetime.server_id, lifetime.born_ms)]))
+
+    def _handle_crashes(self, sender: str, message: ServerCrashes) -> None:
+        """Record the crashes that a peer reports, and pass on those that are new here.
+
+        Processes that are not hubs have no links to each other.
+        """
+        now = current_time()
+        new = self._crash_log.merge(
+            Crash(task, Lifetime(server_id, born_ms), alone, now + left_ms / 1000)
+            for task, server_id, born_ms, alone, left_ms in message.crashes
+        )
+        survivors = [
+            (server_id, born_ms)
+            for server_id, born_ms in message.survivors
+            if self._crash_log.withdraw(Lifetime(server_id, born_ms))
+        ]
+        if new or survivors:
+            crashes = _encode_crashes(new).crashes
+            self._send_to_peers(ServerCrashes(crashes, survivors), except_for=sender)
+
+    def _send_to_peers(self, message: Frame, except_for: str = "") -> None:
+        for incarnation in self._reachable_peers - {except_for}:
+            self._mesh.send(incarnation, message)
 
     # The store
 
@@ -562,3 +604,20 @@
         fresh = current_time() - self._servers.read_at < FRESH_LIST_MAX_AGE_S
         for shard, owner in self._owner_by_shard.items():
             owner.update_servers(self._listing_of_shard(shard, listing_by_id), fresh)
+
+
+def _encode_crashes(crashes: Sequence[Crash]) -> ServerCrashes:
+    now = current_time()
+    return ServerCrashes(
+        [
+            (
+                crash.task_name,
+                crash.lifetime.server_id,
+                crash.lifetime.born_ms,
+                crash.alone,
+                max(0, round((crash.expires_at - now) * 1000)),
+            )
+            for crash in crashes
+        ],
+        [],
+    )
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 )
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
+from redwingport_dispatch.scheduling.crashes import RECORD_TTL_S, Crash, CrashLog, Lifetime
 from redwingport_dispatch.scheduling.effects import Effects
 from redwingport_dispatch.scheduling.history import History
 from redwingport_dispatch.scheduling.openings import UpcomingSlots
@@ -50,6 +51,9 @@
 HANDOVER_REPORT_S = 0.2
 # Increment of a run number that a server rejected as old; how far it lags is unknown.
 OLD_RUN_NUMBER_STEP = 100
+# A machine that refuses connections for this long has no server any more. Shorter refusals occur
+# while a server is busy.
+REFUSED_TIMEOUT_S = 0.1
 # Consecutive failed runs after which a server is ejected for a while. One run in 500 fails on a
 # healthy server.
 FAILURES_IN_A_ROW = 3
@@ -68,6 +72,7 @@
         submitted through another process before, and may be running.
     :param on_dispatch_due: called when queued tasks may be able to start, for a call of
         :meth:`dispatch` soon; None for a pass over the queue after each change.
+    :param crash_log: crashes of servers that the process knows of; None for an empty log.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         bounds: BoundSettings,
         settled_at: float = 0.0,
         on_dispatch_due: Callable[[], None] | None = None,
+        crash_log: CrashLog | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
@@ -91,6 +97,8 @@
         self._server_finder = ServerFinder(self._ejector, bounds.far_factor)
         self._blocked: set[Work] = set()
         self._history = History()
+        self._crash_log = crash_log if crash_log is not None else CrashLog()
+        self._crash_log_revision = 0
         self._placement_paused_until = 0.0
 
     # Servers
@@ -100,7 +108,7 @@
         server = self.server_by_id.get(listing.server_id)
         if server is None:
             candidate = Candidate(listing.server_id, listing.domain, local=True, slots=1)
-            server = ServerState(listing, candidate)
+            server = ServerState(listing, candidate, born_ms=listing.born_ms)
             self.server_by_id[listing.server_id] = server
         server.listing = listing
         server.gone_at = 0.0
@@ -112,9 +120,12 @@
 
         Does not wait for the end of the server's leases and sends no stop orders.
         """
-        server = self.server_by_id.pop(server_id, None)
+        server = self.server_by_id.get(server_id)
         if server is None:
             return
+        if server.suspect:
+            self._note_crash(server, "removed", now)
+        del self.server_by_id[server_id]
         self.speeds.forget(server_id)
         for run in list(server.run_by_task.values()):
             self._forget_run(run, RunOver.SERVER_REMOVED)
@@ -162,6 +173,10 @@
         if work.key in self.work_by_key:
             self._resubmit(self.work_by_key[work.key], placed_by_index)
             return
+        guilty = self._find_guilty_task(work)
+        if guilty is not None:
+            self._report_given_up(work, guilty)
+            return
         refusal = self._history.find_refusal(work.key)
         if refusal is not None:
             # The holder resubmitted the work item on a new link while the refusal was in flight.
@@ -372,9 +387,23 @@
         A task that would be late on the servers with capacity waits for an upcoming slot, if it
         would end much sooner in one.
         """
+        tasks = work.queued_tasks()
+        suspects: Sequence[Task] = ()
+        if self._crash_log.has_suspects(work.job_id):
+            suspects = [
+                task
+                for task in work.tasks()
+                if task.state is not TaskState.DONE
+                and self._crash_log.is_suspect(work.task_name(task.index))
+            ]
+            if suspects:
+                self._place_suspects(work, suspects, open_servers, usable, now)
+                if not self._crash_log.is_cleared(work.job_id):
+                    return not work.queued_tasks()
+                tasks = [task for task in tasks if task not in suspects]
         expected_s_by_server = self._server_finder.find(work, open_servers, usable, now)
         all_started = True
-        for task in work.queued_tasks():
+        for task in tasks:
             placement = choose_server(expected_s_by_server, now, work.target_at)
             if placement is None:
                 return False
@@ -393,7 +422,40 @@
                 server, work, now
             ):
                 del expected_s_by_server[server]
-        return all_started
+        return all_started and all(task.state is not TaskState.QUEUED for task in suspects)
+
+    def _place_suspects(
+        self,
+        work: Work,
+        suspects: Sequence[Task],
+        open_servers: Sequence[ServerState],
+        usable: UsableServers,
+        now: float,
+    ) -> None:
+        """Start queued tasks under which servers have crashed, each alone on a server.
+
+        If it crashes this one too, nothing else is lost, and no other task can have been the
+        cause. They are started one by one until one of them has ended normally, because each may
+        cost a server.
+        """
+        queued = [task for task in suspects if task.state is TaskState.QUEUED]
+        if not self._crash_log.is_cleared(work.job_id):
+            if any(self._runs_alone(work.task_name(task.index)) for task in suspects):
+                return
+            queued = queued[:1]
+        for task in queued:
+            empty = [server for server in open_servers if not server.run_by_task]
+            expected_s_by_server = self._server_finder.find(work, empty, usable, now)
+            placement = choose_server(expected_s_by_server, now, work.target_at)
+            if placement is None:
+                return
+            self._start(work, task, placement, now)
+            run = self.run_by_task[work.task_name(task.index)]
+            placement.server.exclusive_run = run
+
+    def _runs_alone(self, task_name: str) -> bool:
+        run = self.run_by_task.get(task_name)
+        return run is not None and self.server_by_id[run.server_id].exclusive_run is run
 
     def _start(self, work: Work, task: Task, placement: Placement, now: float) -> None:
         server = placement.server
@@ -443,12 +505,13 @@
         if not self._is_known(run) or server is None:
             return
         if failure is OrderFailure.NO_ANSWER:
-            server.suspect = True
+            server.note_contact_lost()
             if run.state is RunState.STARTING:
                 run.state = RunState.LOST
             run.stop_due_at = now
             return
         self._handle_rejected_start(server, run, failure, now)
+        server.lost_run_by_task.pop(run.task_name, None)
         self._forget_run(run, RunOver.START_REJECTED)
         self._requeue(run, now)
         self._request_dispatch(now)
@@ -462,8 +525,8 @@
             server.acquired = False
         elif failure is OrderFailure.NO_ROOM:
             server.full = True
-        elif failure is OrderFailure.NOT_SENT:
-            server.suspect = True
+        elif failure in (OrderFailure.NOT_SENT, OrderFailure.REFUSED):
+            server.note_contact_lost()
         elif failure is OrderFailure.UNHEALTHY:
             self._record_end(server, succeeded=False, now=now)
             server.full = True
@@ -496,11 +559,20 @@
             self._effects.log_decision("server-answered", server=server_id)
             self._request_dispatch(now)
 
-    def handle_unreachable(self, server_id: str) -> None:
+    def handle_unreachable(self, server_id: str, failure: OrderFailure, now: float) -> None:
         """Handle a failed lease renewal: the server gets no task until it answers again."""
         server = self.server_by_id.get(server_id)
-        if server is not None:
-            server.suspect = True
+        if server is None:
+            return
+        server.note_contact_lost()
+        if failure is OrderFailure.OTHER_LIFETIME:
+            self._note_crash(server, "replaced", now)
+        elif failure is not OrderFailure.REFUSED:
+            server.refused_since = 0.0
+        elif not server.refused_since:
+            server.refused_since = now
+        elif now - server.refused_since >= REFUSED_TIMEOUT_S:
+            self._note_crash(server, "refused", now)
 
     def handle_fenced(self, server_id: str, now: float) -> None:
         """Handle a server that is owned by another process."""
@@ -544,6 +616,11 @@
         server = self.server_by_id.get(server_id)
         if server is None:
             return
+        if server.suspect or not server.acquired:
+            # It may have been taken for crashed, here or by an earlier owner.
+            born_ms = report.born_ms or server.born_ms
+            self._crash_log.note_survived(Lifetime(server_id, born_ms))
+        server.note_contact(report.born_ms)
         for end in new_ends:
             self._handle_end(server, end, now)
         listed_by_task = {run.task: run for run in report.runs}
@@ -557,7 +634,6 @@
         self._relocate_late_runs(server, now)
         server.acquired = True
         server.yielded = False
-        server.suspect = False
         server.full = False
         self._unblock_tasks(now)
         self._request_dispatch(now)
@@ -570,10 +646,79 @@
         server = self.server_by_id.get(server_id)
         if server is None:
             return
-        for run in [run for run in server.run_by_task.values() if run.accepted_at]:
+        accepted = [run for run in server.run_by_task.values() if run.accepted_at]
+        server.lost_run_by_task.update({run.task_name: run for run in accepted})
+        self._note_crash(server, "restarted", now)
+        server.lost_run_by_task.clear()
+        server.crashed_tasks.clear()
+        for run in accepted:
             self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
 
+    def _note_crash(self, server: ServerState, evidence: str, now: float) -> None:
+        """Record a crash of a server under the tasks that were there; nothing if it drained."""
+        if server.listing.draining:
+            return
+        server_id = server.listing.server_id
+        lost = set(server.lost_run_by_task)
+        is_alone = len(lost) == 1
+        # Runs that an earlier owner has ordered and that nothing is known of but their server.
+        for work in self._blocked:
+            for task in work.tasks():
+                if task.state is TaskState.BLOCKED and task.blocked_on == server_id:
+                    name = work.task_name(task.index)
+                    is_alone = is_alone and name in lost
+                    lost.add(name)
+        lifetime = Lifetime(server_id, server.born_ms)
+        crashes = self._crash_log.observe(
+            Crash(name, lifetime, is_alone, now + RECORD_TTL_S)
+            for name in sorted(lost - server.crashed_tasks)
+        )
+        # A task that has ended elsewhere since is not blamed again for the same crash.
+        server.crashed_tasks |= lost
+        if crashes:
+            self._effects.log_decision(
+                "server-crashed",
+                server=server_id,
+                born_ms=server.born_ms,
+                evidence=evidence,
+                tasks=[crash.task_name for crash in crashes],
+                crashes=[len(self._crash_log.crashes_under(c.task_name)) for c in crashes],
+                alone=is_alone,
+            )
+            self._give_up_guilty(now)
+
+    def _give_up_guilty(self, now: float) -> None:
+        """Fail the work items of tasks that crash the servers on which they run."""
+        self._crash_log_revision = self._crash_log.revision
+        for work in list(self.work_by_key.values()):
+            guilty = self._find_guilty_task(work)
+            if guilty is not None:
+                self._report_given_up(work, guilty)
+                self._drop_work(work, now)
+                self._request_dispatch(now)
+
+    def _find_guilty_task(self, work: Work) -> Task | None:
+        if not self._crash_log.has_suspects(work.job_id):
+            return None
+        for task in work.tasks():
+            name = work.task_name(task.index)
+            if task.state is not TaskState.DONE and self._crash_log.is_guilty(name):
+                return task
+        return None
+
+    def _report_given_up(self, work: Work, task: Task) -> None:
+        crashes = self._crash_log.crashes_under(work.task_name(task.index))
+        self._effects.log_decision(
+            "task-given-up",
+            job=work.job_id,
+            task=work.task_name(task.index),
+            servers=[crash.lifetime.server_id for crash in crashes],
+            alone=[crash.alone for crash in crashes],
+        )
+        last_run = max(task.next_run - 1, 1)
+        self._effects.report_failed(work, task, last_run, crashes[-1].lifetime.server_id)
+
     def _reconcile_run(
         self, run: Run, listed: RunListing | None, clock_ms: int, sent_at: float, now: float
     ) -> None:
@@ -684,7 +829,10 @@
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
         run.released_work = None
-        self.server_by_id[run.server_id].set_run_shape(run, work.shape)
+        server = self.server_by_id[run.server_id]
+        server.set_run_shape(run, work.shape)
+        if len(server.run_by_task) == 1 and self._crash_log.is_suspect(run.task_name):
+            server.exclusive_run = run
         self._effects.log_decision(
             "run-adopted",
             job=work.job_id,
@@ -696,6 +844,8 @@
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
         run = self.run_by_task.get(end.task)
+        if end.kind in (EndKind.DONE, EndKind.FAILED):
+            self._crash_log.clear(end.task)
         self._history.note_started(job_id_of(end.task), now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
@@ -815,6 +965,9 @@
         certainly ended are removed.
         """
         self.speeds.refresh()
+        if self._crash_log.revision != self._crash_log_revision:
+            # Another owner or process has reported a crash.
+            self._give_up_guilty(now)
         for run in list(self.run_by_task.values()):
             self._check_run(run, now)
         self._unblock_tasks(now)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -32,6 +32,14 @@
         in seconds; until then it gets no new task. 0 while the platform lists it.
     :param lease_ends_at: monotonic time by which every lease granted to the server has certainly
         ended, in seconds.
+    :param born_ms: Unix time of the start of the lifetime that was last in contact, in
+        milliseconds; 0 when unknown.
+    :param lost_run_by_task: runs that were on the server when contact was lost, by task name,
+        including those presumed over since; empty while it answers.
+    :param crashed_tasks: tasks under which a crash of the current lifetime is recorded.
+    :param refused_since: monotonic time since which the machine refuses connections, in seconds;
+        0 when it does not.
+    :param exclusive_run: run beside which nothing else is placed; None if there is none.
     :param observed_slowness: measured over declared run time of the current runs; 0 when
         unknown.
     :param observed_until: monotonic time until which `observed_slowness` is valid without a newer
@@ -47,6 +55,11 @@
     full: bool = False
     gone_at: float = 0.0
     lease_ends_at: float = 0.0
+    born_ms: int = 0
+    lost_run_by_task: dict[str, Run] = field(default_factory=dict)
+    crashed_tasks: set[str] = field(default_factory=set)
+    refused_since: float = 0.0
+    exclusive_run: Run | None = None
     observed_slowness: float = 0.0
     observed_until: float = 0.0
     _used_cpu_millis: int = 0
@@ -60,14 +73,21 @@
 
     @property
     def free_cpu_millis(self) -> int:
-        """Return the free processor capacity, in thousandths of a core; 0 after a rejection."""
-        return 0 if self.full else self.listing.cpu_millis - self._used_cpu_millis
+        """Return the processor capacity that tasks may take, in thousandths of a core.
+
+        It is 0 after a rejection and beside an exclusive run, and negative if the server has
+        shrunk below what runs there.
+        """
+        if self.full or self.exclusive_run is not None:
+            return 0
+        return self.listing.cpu_millis - self._used_cpu_millis
 
     def has_room(self, shape: TaskShape) -> bool:
         """Return whether a task fits beside the current runs."""
         listing = self.listing
         return (
             not self.full
+            and self.exclusive_run is None
             and shape.cpu_millis + self._used_cpu_millis <= listing.cpu_millis
             and shape.memory_mb + self._used_memory_mb <= listing.memory_mb
             and shape.gpus + self._used_gpus <= listing.gpus
@@ -85,6 +105,23 @@
             and shape.gpus + used_gpus <= listing.gpus
         )
 
+    def note_contact_lost(self) -> None:
+        """Give the server no task until it answers, and keep what runs there."""
+        self.suspect = True
+        self.lost_run_by_task.update(self.run_by_task)
+
+    def note_contact(self, born_ms: int) -> None:
+        """Make the server usable again.
+
+        :param born_ms: Unix time of the start of the lifetime that answers, in milliseconds; 0
+            when unknown.
+        """
+        self.suspect = False
+        self.born_ms = born_ms or self.born_ms
+        self.lost_run_by_task.clear()
+        self.crashed_tasks.clear()
+        self.refused_since = 0.0
+
     def has_unclaimed_runs(self) -> bool:
         """Return whether the server has runs that no process has claimed yet.
 
@@ -112,6 +149,8 @@
         """Remove a run and release its resources, if it is present."""
         if self.run_by_task.get(run.task_name) is run:
             del self.run_by_task[run.task_name]
+            if self.exclusive_run is run:
+                self.exclusive_run = None
             self.candidate.own_active -= 1
             self._add_usage(run.shape, -1)
 
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -203,7 +203,7 @@
                 step=error.step,
                 reason=error.reason,
             )
-        self._scheduler.handle_unreachable(self._server_id)
+        self._scheduler.handle_unreachable(self._server_id, error.failure, current_time())
         self._lossy_until = current_time() + LOSSY_PERIOD_S
         await anyio.sleep(self._backoff_s)
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
--- /dev/null
+++ b/packages/dispatch/tests/test_cluster_crashes.py
@@ -0,0 +1,76 @@
+"""Tasks that crash their servers in clusters whose owners change meanwhile."""
+
+import pytest
+
+from redwingport_testbed.simulation.cluster import CRASHING, MEDIUM, Cluster
+
+FAILED = 200
+
+
+def check(cluster: Cluster) -> None:
+    failure = cluster.failure()
+    if failure:
+        pytest.fail(failure, pytrace=False)
+
+
+def count_given_up(cluster: Cluster) -> int:
+    return sum(event == "task-given-up" for _, _, event, _ in cluster.events)
+
+
+# Guards against a job that crashed server after server until its deadline, and again after each
+# resubmission.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_job_that_crashes_servers_is_answered_before_its_deadline(seed: int) -> None:
+    cluster = Cluster(seed, (3, 3), servers=16, shards=2)
+    with cluster.running():
+        job_id = cluster.submit(CRASHING)
+        cluster.world.run(6.0)
+    attempts = [a for a in cluster.attempts if a.job_id == job_id]
+    assert [a.status for a in attempts] == [FAILED], cluster.explain(job_id)
+    assert cluster.crashes_by_task == {f"{job_id}.0.0.0": 2}
+    check(cluster)
+
+
+# Guards against losing the record with the owner: the next one started the task on server after
+# server again.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_crashes_are_remembered_when_the_owner_ends_after_each(seed: int) -> None:
+    cluster = Cluster(seed, (3, 3), servers=16, shards=2)
+    with cluster.running():
+        job_id = cluster.submit(CRASHING, shard=0)
+        for _ in range(3):
+            crashes = sum(cluster.crashes_by_task.values())
+            for _ in range(400):
+                cluster.world.run(0.01)
+                if sum(cluster.crashes_by_task.values()) > crashes:
+                    break
+            cluster.world.run(0.25)
+            for entry in cluster.owners().get(0, []):
+                cluster.kill(entry, refuses=True)
+                cluster.world.call_later(2.0, lambda entry=entry: cluster.start(entry))
+        cluster.world.run(8.0)
+    assert cluster.crashes_by_task[f"{job_id}.0.0.0"] <= 3, cluster.explain(job_id)
+    assert count_given_up(cluster), cluster.explain(job_id)
+    check(cluster)
+
+
+# Guards against harm to the other jobs while some crash their servers.
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_other_jobs_are_done_while_some_crash_servers(seed: int) -> None:
+    cluster = Cluster(seed, (3, 3), servers=32, shards=2, timeout_s=4.0)
+    with cluster.running():
+        cluster.load(12, 6.0, kinds=(MEDIUM,))
+        cluster.load(1, 6.0, kinds=(CRASHING,))
+        cluster.world.run(14.0)
+    assert cluster.crashes_by_task
+    assert max(cluster.crashes_by_task.values()) <= 2
+    others = {a.job_id: a for a in cluster.attempts if a.kind is not CRASHING}
+    unserved = [job_id for job_id, attempt in others.items() if attempt.status != 200]
+    assert not unserved, cluster.explain(unserved[0])
+    failed = [
+        f
+        for _, _, event, f in cluster.events
+        if event == "job-ended" and f["outcome"] == "failed" and f["job"] in others
+    ]
+    assert not failed
+    check(cluster)
--- a/packages/dispatch/tests/test_scheduler_machine.py
+++ b/packages/dispatch/tests/test_scheduler_machine.py
@@ -230,7 +230,10 @@
     def room_is_counted_right(self) -> None:
         for server in self.scheduler.server_by_id.values():
             used = sum(run.shape.cpu_millis for run in server.run_by_task.values())
-            assert server.full or server.free_cpu_millis == CPU_MILLIS - used
+            exclusive = server.exclusive_run
+            is_closed = server.full or exclusive is not None
+            assert server.free_cpu_millis == (0 if is_closed else CPU_MILLIS - used)
+            assert exclusive is None or server.run_by_task[exclusive.task_name] is exclusive
             assert used <= CPU_MILLIS
 
 
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -232,3 +232,18 @@
 
     revision: Count
     document: bytes
+
+
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class ServerCrashes:
+    """Report servers that have crashed while tasks ran there, or turned out not to have crashed.
+
+    :param crashes: task, id of the server, Unix time of its start in milliseconds, whether the
+        task was alone there, and the time for which the crash still counts in milliseconds, of
+        each crash under a task.
+    :param survivors: id of the server and Unix time of its start in milliseconds of each lifetime
+        that was reported as crashed by mistake.
+    """
+
+    crashes: list[tuple[str, str, Count, bool, Count]]
+    survivors: list[tuple[str, Count]]
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -18,6 +18,7 @@
     Presence,
     PresenceUnchanged,
     ReleaseWork,
+    ServerCrashes,
     SubmitWork,
     TaskNews,
     WorkAbandoned,
@@ -227,6 +228,7 @@
     | LayoutQuery
     | LayoutAnswer
     | PresenceUnchanged
+    | ServerCrashes
 )
 
 
@@ -279,6 +281,7 @@
     23: _codec(LayoutQuery),
     24: _codec(LayoutAnswer),
     25: _codec(PresenceUnchanged),
+    26: _codec(ServerCrashes),
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
--- a/packages/messages/tests/test_frames.py
+++ b/packages/messages/tests/test_frames.py
@@ -4,10 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from redwingport_messages.dispatch import ServerCrashes
 from redwingport_messages.exceptions import MessageError
 from redwingport_messages.frames import (
     LENGTH_BYTES,
     Forward,
+    Frame,
     Handover,
     Heartbeat,
     SyncAnswer,
@@ -23,9 +25,10 @@
         SyncAnswer([(3, "{}")], "", True),
         Forward(1, "submit", "id", "route", "", "application/json", b"\x00\xff", 12.5),
         Handover("00ff", [("id", "print", "complete", 200, "text/plain", b"x")], True),
+        ServerCrashes([("job.0.0.0", "s0", 1_700_000_000_000, True, 60_000)], [("s1", 0)]),
     ],
 )
-def test_encoded_message_is_decoded_unchanged(message: Heartbeat) -> None:
+def test_encoded_message_is_decoded_unchanged(message: Frame) -> None:
     """Guard against fields that change between sender and receiver."""
     assert decode_frame(encode_frame(message)[LENGTH_BYTES:], "peer") == message
 
--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -85,6 +85,10 @@
 LONG = JobKind("long", 4, 0.9, (0.7, LONG_FACTOR))
 MEDIUM = JobKind("medium", 2, 0.2, (0.7, 1.5))
 KINDS = (SHORT, LONG, MEDIUM)
+# Its first task ends the server that starts it.
+CRASHING = JobKind("crashing", 2, 0.1, (0.7, 1.5))
+CRASH_AFTER_S = 0.012
+CRASH_DOWN_S = 3.3
 
 
 @dataclass
@@ -202,7 +206,7 @@
 
     def decode_job(self, body: bytes) -> Result[JobRequest, str]:
         """Return the job of the kind named in a body; see :class:`JobFormat`."""
-        kind = next(kind for kind in KINDS if kind.name == body.decode())
+        kind = _kind_of(body.decode())
         shape = TaskShape(TASK_CPU_MILLIS, 64, 0, kind.estimate_s)
         return Ok(JobRequest(kind.name, (StepRequest(kind.tasks, shape),)))
 
@@ -320,6 +324,7 @@
         self.entries: list[Entry] = []
         self.server_by_id: dict[str, ModelServer] = {}
         self.attempts: list[Attempt] = []
+        self.crashes_by_task: dict[str, int] = {}
         self.events: list[tuple[float, str, str, dict[str, object]]] = []
         self._server_by_address: dict[str, ModelServer] = {}
         self._listeners: dict[str, Listener] = {}
@@ -542,6 +547,7 @@
             cpu_millis,
         )
         server.node.name = server_id
+        server.on_start = self._crash_if_deadly
         address = f"10.8.0.{number}:1"
         self.server_by_id[server_id] = server
         self._server_by_address[address] = server
@@ -592,6 +598,35 @@
 
         self.world.call_later(duration_s, start)
 
+    def _crash_if_deadly(self, server: ModelServer, task: str, spec: str) -> None:
+        if spec == CRASHING.name and task.endswith(".0"):
+            lifetime = server.node.lifetime
+
+            def crash() -> None:
+                if server.node.lifetime == lifetime:
+                    self.crashes_by_task[task] = self.crashes_by_task.get(task, 0) + 1
+                    self.crash_server(server.node.name, CRASH_DOWN_S)
+
+            self.world.call_later(CRASH_AFTER_S, crash)
+
+    def crash_server(self, server_id: str, duration_s: float) -> None:
+        """Let a server crash, and start its next lifetime some seconds later.
+
+        Unlike in :meth:`restart_server`, its connections are closed and its row stays.
+        """
+        server = self.server_by_id[server_id]
+        server.node.refuses = True
+        server.crash(closes_connections=True)
+
+        def start() -> None:
+            server.node.is_up = True
+            server.start_lifetime()
+            listing = self.store.listing_by_id.get(server_id)
+            if listing is not None:
+                self.store.put(replace(listing, born_ms=server.born_ms))
+
+        self.world.call_later(duration_s, start)
+
     def cut_server(self, server_id: str, duration_s: float) -> None:
         """Cut all paths to and from a server."""
         self.world.cut({(server_id, "*"), ("*", server_id)}, duration_s)
@@ -606,7 +641,7 @@
         self.world.cut(paths, duration_s)
 
     def _duration_of(self, spec: str) -> float:
-        kind = next(kind for kind in KINDS if kind.name == spec)
+        kind = _kind_of(spec)
         return kind.estimate_s * self.world.random.uniform(*kind.factors)
 
     # Faults of the network
@@ -819,6 +854,10 @@
         return counts
 
 
+def _kind_of(spec: str) -> JobKind:
+    return next(kind for kind in (*KINDS, CRASHING) if kind.name == spec)
+
+
 class _Recorder(logging.Handler):
     """Record the log events of all processes with their virtual time."""
 
--- a/packages/testbed/src/redwingport_testbed/simulation/world.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/world.py
@@ -448,6 +448,9 @@
         self.loss_share = 0.0
         self.late_share = 0.0
         self.cpu_millis = cpu_millis
+        self.closes_connections = False
+        self.open_exchanges: set[Callback] = set()
+        self.on_start: Callable[[ModelServer, str, str], None] | None = None
         self.slowness = 1.0
         self._world = world
         self._monitor = monitor
@@ -469,13 +472,22 @@
         self._sequence = itertools.count(1)
         self._waiters: list[Callback] = []
 
-    def crash(self) -> None:
-        """End this lifetime; everything that runs there ends with it."""
+    def crash(self, closes_connections: bool = False) -> None:
+        """End this lifetime; everything that runs there ends with it.
+
+        :param closes_connections: whether the machine closes the connections; otherwise they time
+            out, also those to later lifetimes from clients that were opened before.
+        """
         for run in list(self.run_by_task.values()):
             self._monitor.note_end(self.node.name, run)
         self.run_by_task.clear()
         self.node.is_up = False
         self.node.lifetime += 1
+        self.closes_connections = closes_connections
+        if closes_connections:
+            closed, self.open_exchanges = self.open_exchanges, set()
+            for close in closed:
+                close()
 
     def set_clock_rate(self, rate: float) -> None:
         """Set the rate of the clock; its lifetime is dated so that the clock does not jump."""
@@ -549,6 +561,8 @@
         self.run_by_task[order.task] = run
         self._cpu_by_task[order.task] = cpu
         self._monitor.note_start(self.node.name, run)
+        if self.on_start is not None:
+            self.on_start(self, order.task, order.spec)
         self._world.call_later(run.duration_s, lambda: self._end(run, EndKind.DONE))
         return None
 
@@ -662,13 +676,16 @@
         deadline: float,
     ) -> Result[Any, OrderError]:
         world, source, target = self._world, self._process, self._server.node
+        if self._server.closes_connections and self._lifetime != target.lifetime:
+            self._lifetime = target.lifetime
+            self._idle_connections = 0
         if self._idle_connections:
             self._idle_connections -= 1
         else:
             unreachable = world.is_cut(source, target) or world.is_cut(target, source)
             if not target.is_up and target.refuses:
                 await anyio.sleep(world.delay_s(source, target) * 2)
-                return _failed(step, OrderFailure.NOT_SENT)
+                return _failed(step, OrderFailure.REFUSED)
             if unreachable or not target.is_up:
                 await anyio.sleep_until(deadline)
                 return _failed(step, OrderFailure.NOT_SENT)
@@ -689,12 +706,22 @@
             if target.is_up and target.lifetime == self._lifetime:
                 execute(reply)
 
-        self._transmit(arrive)
-        with anyio.CancelScope(deadline=deadline):
-            result = await answered
-            self._idle_connections = min(self._idle_connections + 1, MAX_CONNECTIONS)
-            return result
-        return _failed(step, OrderFailure.NO_ANSWER)
+        def close() -> None:
+            if not (world.is_cut(source, target) or world.is_cut(target, source)):
+                closed = _failed(step, OrderFailure.NO_ANSWER)
+                world.call_later(world.delay_s(target, source), lambda: deliver(closed))
+
+        self._server.open_exchanges.add(close)
+        try:
+            self._transmit(arrive)
+            with anyio.CancelScope(deadline=deadline):
+                result = await answered
+                if self._lifetime == target.lifetime:
+                    self._idle_connections = min(self._idle_connections + 1, MAX_CONNECTIONS)
+                return result
+            return _failed(step, OrderFailure.NO_ANSWER)
+        finally:
+            self._server.open_exchanges.discard(close)
 
     def _transmit(self, arrive: Callback) -> None:
         world, source, target = self._world, self._process, self._server.node
