Keep a server free for a task that has to run alone

Callers whose tasks were on servers of a failure domain that crashed saw 504 at their deadline: their tasks had to run alone on a server next, and under load no server becomes empty by itself, as each free slot is taken at once.

A task that finds no empty server now reserves the one that is expected to be empty first, which then gets no other task. At most a quarter of the usable servers are reserved, one for each work item, and a reservation ends with its work item. A work item that waits for an empty server no longer counts in the forecast of the wait of others, which were refused as too late behind it.

The new tests failed before: the task was not started until the queue was empty.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/crashes.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/crashes.py
@@ -132,6 +132,11 @@
         if not record.by_task:
             del self._record_by_job[job_id]
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no crash is known."""
+        return not self._record_by_job
+
     def has_suspects(self, job_id: str) -> bool:
         """Return whether a server has crashed under a task of a job."""
         return job_id in self._record_by_job
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
@@ -26,6 +26,10 @@
         """Return the servers that may get a task now."""
         ...
 
+    def runs_apart(self, work: Work) -> bool:
+        """Return whether a work item waits for servers of its own, and not for those in use."""
+        ...
+
     def refuse(
         self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
     ) -> None:
@@ -86,7 +90,9 @@
             if demand is None:
                 demand = _QueuedDemand(self._forecast(work.service, now))
                 demand_by_service[work.service] = demand
-            demand.add(work)
+            runs_apart = self._scheduler.runs_apart(work)
+            if not runs_apart:
+                demand.add(work)
             if work.ever_started:
                 self._abandon_if_too_late(work, demand.forecast, now)
             elif demand.forecast is None:
@@ -95,7 +101,8 @@
                 others_wait = waiting_by_service[work.service] > 1
                 limit_at = admission.latest_end(work, others_wait)
                 if self._refuse_late(work, demand.forecast, demand.wait_s(work), limit_at, now):
-                    demand.add(work, -1)
+                    if not runs_apart:
+                        demand.add(work, -1)
                     waiting_by_service[work.service] -= 1
 
     def review_blocked(self, works: Sequence[Work], now: float) -> None:
@@ -127,7 +134,8 @@
         waiting = [other for other in queue if other.service == work.service]
         demand = _QueuedDemand(forecast)
         for other in waiting[: waiting.index(work) + 1]:
-            demand.add(other)
+            if other is work or not self._scheduler.runs_apart(other):
+                demand.add(other)
         wait_s = demand.wait_s(work)
         if work.refused_for_load and wait_s > 0:
             self._scheduler.refuse(
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1,5 +1,6 @@
 """Scheduler of an owner: decides where and when tasks start, and tracks their runs."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from redwingport_dispatch.exceptions import OrderFailure
@@ -54,6 +55,8 @@
 # A machine that refuses connections for this long has no server any more. Shorter refusals occur
 # while a server is busy.
 REFUSED_TIMEOUT_S = 0.1
+# Maximum share of the usable servers that get no task until one can run there alone.
+MAX_RESERVED_SHARE = 0.25
 # Consecutive failed runs after which a server is ejected for a while. One run in 500 fails on a
 # healthy server.
 FAILURES_IN_A_ROW = 3
@@ -99,6 +102,7 @@
         self._history = History()
         self._crash_log = crash_log if crash_log is not None else CrashLog()
         self._crash_log_revision = 0
+        self._reserved_by_work: dict[WorkKey, ServerState] = {}
         self._placement_paused_until = 0.0
 
     # Servers
@@ -323,6 +327,9 @@
 
     def _forget_work(self, work: Work) -> None:
         self.work_by_key.pop(work.key, None)
+        reserved = self._reserved_by_work.pop(work.key, None)
+        if reserved is not None:
+            reserved.is_reserved = False
         self.queue.remove(work)
         self._blocked.discard(work)
 
@@ -342,6 +349,10 @@
         """Start queued tasks while servers have capacity for them."""
         if not len(self.queue) or now < self._placement_paused_until:
             return
+        if not self._crash_log.is_empty:
+            self._dispatch_suspects(now)
+            if not len(self.queue):
+                return
         # While there is a queue, most work items find no capacity and most servers have none, so
         # both are sorted out by a single number.
         min_cpu_millis = min(work.shape.cpu_millis for work in self.queue)
@@ -388,19 +399,11 @@
         would end much sooner in one.
         """
         tasks = work.queued_tasks()
-        suspects: Sequence[Task] = ()
-        if self._crash_log.has_suspects(work.job_id):
-            suspects = [
-                task
-                for task in work.tasks()
-                if task.state is not TaskState.DONE
-                and self._crash_log.is_suspect(work.task_name(task.index))
-            ]
-            if suspects:
-                self._place_suspects(work, suspects, open_servers, usable, now)
-                if not self._crash_log.is_cleared(work.job_id):
-                    return not work.queued_tasks()
-                tasks = [task for task in tasks if task not in suspects]
+        suspects = self._suspects_of(work)
+        if suspects:
+            if not self._crash_log.is_cleared(work.job_id):
+                return False
+            tasks = [task for task in tasks if task not in suspects]
         expected_s_by_server = self._server_finder.find(work, open_servers, usable, now)
         all_started = True
         for task in tasks:
@@ -424,34 +427,71 @@
                 del expected_s_by_server[server]
         return all_started and all(task.state is not TaskState.QUEUED for task in suspects)
 
-    def _place_suspects(
-        self,
-        work: Work,
-        suspects: Sequence[Task],
-        open_servers: Sequence[ServerState],
-        usable: UsableServers,
-        now: float,
-    ) -> None:
+    def _suspects_of(self, work: Work) -> list[Task]:
+        """Return the tasks of a work item that are not done and under which servers crashed."""
+        if not self._crash_log.has_suspects(work.job_id):
+            return []
+        return [
+            task
+            for task in work.tasks()
+            if task.state is not TaskState.DONE
+            and self._crash_log.is_suspect(work.task_name(task.index))
+        ]
+
+    def runs_apart(self, work: Work) -> bool:
+        """Return whether a work item waits for empty servers; see :class:`ReviewedScheduler`."""
+        return self._crash_log.has_suspects(work.job_id) and bool(self._suspects_of(work))
+
+    def _dispatch_suspects(self, now: float) -> None:
         """Start queued tasks under which servers have crashed, each alone on a server.
 
         If it crashes this one too, nothing else is lost, and no other task can have been the
-        cause. They are started one by one until one of them has ended normally, because each may
-        cost a server.
+        cause. Those of one work item are started one by one until one of them has ended normally,
+        because each may cost a server.
         """
-        queued = [task for task in suspects if task.state is TaskState.QUEUED]
-        if not self._crash_log.is_cleared(work.job_id):
-            if any(self._runs_alone(work.task_name(task.index)) for task in suspects):
-                return
-            queued = queued[:1]
-        for task in queued:
-            empty = [server for server in open_servers if not server.run_by_task]
-            expected_s_by_server = self._server_finder.find(work, empty, usable, now)
-            placement = choose_server(expected_s_by_server, now, work.target_at)
-            if placement is None:
-                return
+        works = [work for work in self.queue if self._crash_log.has_suspects(work.job_id)]
+        servers = self.usable_servers(now) if works else []
+        usable = UsableServers(lambda: servers, self.speeds)
+        for work in works:
+            suspects = self._suspects_of(work)
+            queued = [task for task in suspects if task.state is TaskState.QUEUED]
+            if not self._crash_log.is_cleared(work.job_id):
+                if any(self._runs_alone(work.task_name(task.index)) for task in suspects):
+                    continue
+                queued = queued[:1]
+            for task in queued:
+                if not self._start_alone(work, task, servers, usable, now):
+                    break
+            if not work.queued_tasks():
+                self.queue.remove(work)
+
+    def _start_alone(
+        self,
+        work: Work,
+        task: Task,
+        servers: Sequence[ServerState],
+        usable: UsableServers,
+        now: float,
+    ) -> bool:
+        """Start a task on an empty server, or else reserve one; return whether it was started."""
+        reserved = self._reserved_by_work.pop(work.key, None)
+        if reserved is not None:
+            reserved.is_reserved = False
+        empty = [server for server in servers if not server.run_by_task]
+        expected_s_by_server = self._server_finder.find(work, empty, usable, now)
+        placement = choose_server(expected_s_by_server, now, work.target_at)
+        if placement is not None:
             self._start(work, task, placement, now)
-            run = self.run_by_task[work.task_name(task.index)]
-            placement.server.exclusive_run = run
+            placement.server.exclusive_run = self.run_by_task[work.task_name(task.index)]
+            return True
+        if reserved not in servers:
+            reserved = None
+            if len(self._reserved_by_work) < math.ceil(MAX_RESERVED_SHARE * len(servers)):
+                reserved = self._server_finder.find_first_empty(work, servers, now)
+        if reserved is not None:
+            reserved.is_reserved = True
+            self._reserved_by_work[work.key] = reserved
+        return False
 
     def _runs_alone(self, task_name: str) -> bool:
         run = self.run_by_task.get(task_name)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/server_finder.py
@@ -105,6 +105,24 @@
             server: run_s for server, run_s in run_s_by_server.items() if run_s * factor <= left_s
         }
 
+    def find_first_empty(
+        self, work: Work, servers: Iterable[ServerState], now: float
+    ) -> ServerState | None:
+        """Return the server that can run a task and is expected to be empty first, or None."""
+        return min(
+            (
+                server
+                for server in servers
+                if not server.is_closed
+                and _could_run(server, work)
+                and self.accepts(server, work, now)
+            ),
+            key=lambda server: max(
+                (run.remaining_s(now) for run in server.run_by_task.values()), default=0.0
+            ),
+            default=None,
+        )
+
     def accepts(self, server: ServerState, work: Work, now: float) -> bool:
         """Return whether a server may get one more task of a work item."""
         if not self._ejector.admits(server.candidate, now):
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -40,6 +40,7 @@
     :param refused_since: monotonic time since which the machine refuses connections, in seconds;
         0 when it does not.
     :param exclusive_run: run beside which nothing else is placed; None if there is none.
+    :param is_reserved: whether it gets no task until one can run there alone.
     :param observed_slowness: measured over declared run time of the current runs; 0 when
         unknown.
     :param observed_until: monotonic time until which `observed_slowness` is valid without a newer
@@ -60,6 +61,7 @@
     crashed_tasks: set[str] = field(default_factory=set)
     refused_since: float = 0.0
     exclusive_run: Run | None = None
+    is_reserved: bool = False
     observed_slowness: float = 0.0
     observed_until: float = 0.0
     _used_cpu_millis: int = 0
@@ -71,14 +73,18 @@
         """Return the kind of the server, its first label."""
         return self.listing.labels[0] if self.listing.labels else ""
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether it gets no task: after a rejection, or for a task that runs alone."""
+        return self.full or self.is_reserved or self.exclusive_run is not None
+
     @property
     def free_cpu_millis(self) -> int:
         """Return the processor capacity that tasks may take, in thousandths of a core.
 
-        It is 0 after a rejection and beside an exclusive run, and negative if the server has
-        shrunk below what runs there.
+        It is 0 while the server is closed, and negative if it has shrunk below what runs there.
         """
-        if self.full or self.exclusive_run is not None:
+        if self.is_closed:
             return 0
         return self.listing.cpu_millis - self._used_cpu_millis
 
@@ -86,8 +92,7 @@
         """Return whether a task fits beside the current runs."""
         listing = self.listing
         return (
-            not self.full
-            and self.exclusive_run is None
+            not self.is_closed
             and shape.cpu_millis + self._used_cpu_millis <= listing.cpu_millis
             and shape.memory_mb + self._used_memory_mb <= listing.memory_mb
             and shape.gpus + self._used_gpus <= listing.gpus
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -301,6 +301,33 @@
     assert not harness.scheduler._crash_log.is_suspect("suspect.0.0.0")
 
 
+# Guards against a task that waits until its deadline, because no server becomes empty by itself
+# while others are queued.
+def test_server_is_kept_free_for_a_task_that_has_to_run_alone() -> None:
+    harness = SchedulerHarness(servers=6, cpu_millis=14000)
+    servers = Servers(harness)
+    harness.scheduler._crash_log.merge([crash("suspect.0.0.0", "s9")])
+    for number in range(80):
+        harness.submit(f"job{number}", estimate_s=0.3, deadline_s=9, target_s=9)
+    servers.run(0.1)
+    harness.submit("suspect", deadline_s=9, target_s=9)
+    servers.run(1.0)
+    assert ("suspect", 0) in harness.effects.done
+    assert len(harness.effects.done) < 60, "others are still queued"
+    assert not any(server.is_closed for server in harness.scheduler.server_by_id.values())
+
+
+def test_reserved_server_is_released_when_the_job_is_cancelled() -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.scheduler._crash_log.merge([crash("suspect.0.0.0", "s9")])
+    harness.submit("job", estimate_s=2.0, deadline_s=6)
+    work = harness.submit("suspect", deadline_s=6, target_s=6)
+    assert harness.scheduler.server_by_id["s0"].is_reserved
+    harness.submit("next", deadline_s=6, target_s=6)
+    harness.scheduler.cancel(work.key, harness.now)
+    assert [run.task_name for run in harness.effects.started] == ["job.0.0.0", "next.0.0.0"]
+
+
 # Guards against losing the evidence with the owner: the next one tried the task again.
 def test_next_owner_gives_up_a_task_that_crashed_servers_under_the_previous_one() -> None:
     first = SchedulerHarness(servers=4)
--- a/packages/dispatch/tests/test_scheduler_machine.py
+++ b/packages/dispatch/tests/test_scheduler_machine.py
@@ -231,7 +231,9 @@
         for server in self.scheduler.server_by_id.values():
             used = sum(run.shape.cpu_millis for run in server.run_by_task.values())
             exclusive = server.exclusive_run
-            is_closed = server.full or exclusive is not None
+            reserved = server in self.scheduler._reserved_by_work.values()
+            assert server.is_reserved == reserved
+            is_closed = server.full or reserved or exclusive is not None
             assert server.free_cpu_millis == (0 if is_closed else CPU_MILLIS - used)
             assert exclusive is None or server.run_by_task[exclusive.task_name] is exclusive
             assert used <= CPU_MILLIS
