Forecast no slots from runs that end on a server that has shrunk

Callers whose jobs had no chance were accepted, and refused only after some of their time had passed, when the capacity of a server had shrunk below what ran there. The forecast of the wait counted the end of each run as a free slot, also that of runs whose end only makes up for the capacity that the server has lost.

The first ends on such a server, up to the excess, no longer count. The test of it failed before: the job that comes too late was not refused. Further tests cover what already worked: a server that has shrunk gets no task until one fits, one that has grown gets as many as fit, what one server lacks is not subtracted from the free capacity of others, and a job that fits on no server is refused until one has grown again.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/admission.py
@@ -47,13 +47,27 @@
 
     @cached_property
     def _remaining_s(self) -> list[float]:
-        """Return the expected remaining times of the runs, in seconds, shortest first."""
+        """Return the expected times until runs free slots, in seconds, shortest first."""
         return sorted(
-            run.remaining_s(self._now)
-            for server in self._servers
-            for run in server.run_by_task.values()
+            remaining_s for server in self._servers for remaining_s in self._free_after_s(server)
         )
 
+    def _free_after_s(self, server: ServerState) -> list[float]:
+        """Return the expected times until runs on one server free slots, in seconds.
+
+        The first ends on a server that has shrunk below what runs there free none.
+        """
+        runs = server.run_by_task.values()
+        excess_millis = -server.free_cpu_millis
+        if excess_millis <= 0:
+            return [run.remaining_s(self._now) for run in runs]
+        remaining_s = []
+        for run in sorted(runs, key=lambda run: run.remaining_s(self._now)):
+            if excess_millis <= 0:
+                remaining_s.append(run.remaining_s(self._now))
+            excess_millis -= run.shape.cpu_millis
+        return remaining_s
+
     @property
     def server_count(self) -> int:
         """Return the number of servers."""
--- a/packages/dispatch/tests/test_scheduler_load.py
+++ b/packages/dispatch/tests/test_scheduler_load.py
@@ -1,9 +1,12 @@
 """Queueing, refusal and placement under load; each test describes the load that it models."""
 
+from dataclasses import replace
+
 import pytest
 from scheduling_fakes import SchedulerHarness
 
 from redwingport_dispatch.interfaces import EndKind, RunListing, ServerReport
+from redwingport_dispatch.scheduling.admission import FITS_ON_NO_SERVER
 from redwingport_dispatch.scheduling.work import Run, Work
 
 
@@ -477,3 +480,82 @@
     harness = harness_with_two_kinds(fast=1, slow=4)
     harness.submit("long", tasks=7, estimate_s=0.75, target_s=1.5, deadline_s=1.5)
     assert {run.server_id for run in harness.effects.started} > {"fast0"}
+
+
+def resize(harness: SchedulerHarness, server_id: str, cpu_millis: int) -> None:
+    """List a server with another capacity, as it does when its room shrinks or grows."""
+    listing = harness.scheduler.server_by_id[server_id].listing
+    harness.scheduler.set_server(replace(listing, cpu_millis=cpu_millis))
+
+
+# Guards against starts into capacity that a server no longer has, also while more runs there.
+def test_server_that_has_shrunk_below_its_runs_gets_no_task_until_one_fits() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=21000)
+    for number in range(3):
+        harness.submit(f"job{number}", deadline_s=9, target_s=9)
+    harness.accept_all()
+    first = list(harness.effects.started)
+    resize(harness, "s0", 10000)
+    assert harness.scheduler.server_by_id["s0"].free_cpu_millis == -11000
+    harness.submit("next", deadline_s=9, target_s=9)
+    for run in first[:2]:
+        harness.end(run)
+        assert harness.effects.started == first, "7000 and 7000 do not fit into 10000"
+    harness.end(first[2])
+    assert [run.task_name for run in harness.effects.started[3:]] == ["next.0.0.0"]
+    assert not harness.effects.refused
+
+
+# Guards against leaving capacity unused that a server has got back.
+def test_server_that_has_grown_gets_as_many_tasks_as_fit() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    for number in range(3):
+        harness.submit(f"job{number}", deadline_s=9, target_s=9)
+    assert len(harness.effects.started) == 1
+    resize(harness, "s0", 21000)
+    harness.advance(0.01)
+    assert len(harness.effects.started) == 3
+
+
+# Guards against a forecast that subtracts what is missing on one server from the free capacity of
+# another.
+def test_capacity_that_a_shrunk_server_lacks_is_not_missing_elsewhere() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=14000)
+    for number in range(4):
+        harness.submit(f"job{number}", estimate_s=1.0, deadline_s=9, target_s=9)
+    harness.accept_all()
+    resize(harness, "s0", 1000)
+    resize(harness, "s1", 21000)
+    harness.submit("fits", deadline_s=0.5, target_s=0.4)
+    assert harness.effects.started[-1].task_name == "fits.0.0.0"
+
+
+# Guards against accepting jobs that time out: the ends of runs on a server that has shrunk below
+# what runs there were counted as slots that become free.
+def test_runs_whose_end_frees_no_slot_do_not_shorten_the_forecast() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=14000)
+    for number, estimate_s in enumerate((0.2, 0.2, 2.0, 2.0)):
+        harness.submit(f"job{number}", estimate_s=estimate_s, deadline_s=9, target_s=9)
+    harness.accept_all()
+    shrunk = harness.effects.started[0].server_id
+    assert harness.effects.started[1].server_id == shrunk
+    resize(harness, shrunk, 10000)
+    harness.submit("second", deadline_s=9, target_s=9)
+    harness.submit("late", deadline_s=0.7, target_s=0.6)
+    assert [job_id for job_id, _, _ in harness.effects.refused] == ["late"]
+    resize(harness, shrunk, 14000)
+    harness.submit("again", deadline_s=0.7, target_s=0.6)
+    assert [job_id for job_id, _, _ in harness.effects.refused] == ["late"]
+
+
+def test_job_that_fits_on_no_server_any_more_is_refused() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=14000)
+    for server_id in ("s0", "s1"):
+        resize(harness, server_id, 5000)
+    harness.submit("large")
+    assert [(job_id, reason) for job_id, reason, _ in harness.effects.refused] == [
+        ("large", FITS_ON_NO_SERVER)
+    ]
+    resize(harness, "s1", 14000)
+    harness.submit("again")
+    assert [run.task_name for run in harness.effects.started] == ["again.0.0.0"]
