--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1,5 +1,6 @@
 """Scheduler of an owner: decides where and when tasks start, and tracks their runs."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from redwingport_dispatch.exceptions import OrderFailure
@@ -14,6 +15,7 @@
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
 from redwingport_dispatch.scheduling import admission
+from redwingport_dispatch.scheduling.crashes import RECORD_TTL_S, Crash, CrashLog, Lifetime
 from redwingport_dispatch.scheduling.effects import Effects
 from redwingport_dispatch.scheduling.history import History, UnclaimedEnd
 from redwingport_dispatch.scheduling.openings import UpcomingSlots
@@ -51,6 +53,11 @@
 HANDOVER_REPORT_S = 0.2
 # Increment of a run number that a server rejected as old; how far it lags is unknown.
 OLD_RUN_NUMBER_STEP = 100
+# A machine that refuses connections for this long has no server any more. Shorter refusals occur
+# while a server is busy.
+REFUSED_TIMEOUT_S = 0.1
+# Maximum share of the usable servers that get no task until one can run there alone.
+MAX_RESERVED_SHARE = 0.25
 # Consecutive failed runs after which a server is ejected for a while. One run in 500 fails on a
 # healthy server.
 FAILURES_IN_A_ROW = 3
@@ -69,6 +76,7 @@
         submitted through another process before, and may be running.
     :param on_dispatch_due: called when queued tasks may be able to start, for a call of
         :meth:`dispatch` soon; None for a pass over the queue after each change.
+    :param crash_log: crashes of servers that the process knows of; None for an empty log.
     """
 
     def __init__(
@@ -77,6 +85,7 @@
         bounds: BoundSettings,
         settled_at: float = 0.0,
         on_dispatch_due: Callable[[], None] | None = None,
+        crash_log: CrashLog | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
@@ -92,6 +101,9 @@
         self._server_finder = ServerFinder(self._ejector, bounds.far_factor)
         self._blocked: set[Work] = set()
         self._history = History()
+        self._crash_log = crash_log if crash_log is not None else CrashLog()
+        self._crash_log_revision = 0
+        self._reserved_by_work: dict[WorkKey, ServerState] = {}
         self._placement_paused_until = 0.0
 
     # Servers
@@ -101,7 +113,7 @@
         server = self.server_by_id.get(listing.server_id)
         if server is None:
             candidate = Candidate(listing.server_id, listing.domain, local=True, slots=1)
-            server = ServerState(listing, candidate)
+            server = ServerState(listing, candidate, born_ms=listing.born_ms)
             self.server_by_id[listing.server_id] = server
         server.listing = listing
         server.gone_at = 0.0
@@ -113,9 +125,12 @@
 
         Does not wait for the end of the server's leases and sends no stop orders.
         """
-        server = self.server_by_id.pop(server_id, None)
+        server = self.server_by_id.get(server_id)
         if server is None:
             return
+        if server.suspect:
+            self._note_crash(server, "removed", now)
+        del self.server_by_id[server_id]
         self.speeds.forget(server_id)
         for run in list(server.run_by_task.values()):
             self._forget_run(run, RunOver.SERVER_REMOVED)
@@ -163,6 +178,10 @@
         if work.key in self.work_by_key:
             self._resubmit(self.work_by_key[work.key], work, placed_by_index, now)
             return
+        guilty = self._find_guilty_task(work)
+        if guilty is not None:
+            self._report_given_up(work, guilty)
+            return
         refusal = self._history.find_refusal(work.key)
         if refusal is not None:
             # The holder resubmitted the work item on a new link while the refusal was in flight.
@@ -387,6 +406,9 @@
 
     def _forget_work(self, work: Work) -> None:
         self.work_by_key.pop(work.key, None)
+        reserved = self._reserved_by_work.pop(work.key, None)
+        if reserved is not None:
+            reserved.is_reserved = False
         self.queue.remove(work)
         self._blocked.discard(work)
 
@@ -406,6 +428,10 @@
         """Start queued tasks while servers have capacity for them."""
         if not len(self.queue) or now < self._placement_paused_until:
             return
+        if not self._crash_log.is_empty:
+            self._dispatch_suspects(now)
+            if not len(self.queue):
+                return
         # While there is a queue, most work items find no capacity and most servers have none, so
         # both are sorted out by a single number.
         min_cpu_millis = min(work.shape.cpu_millis for work in self.queue)
@@ -451,9 +477,15 @@
         A task that would be late on the servers with capacity waits for an upcoming slot, if it
         would end much sooner in one.
         """
+        tasks = work.queued_tasks()
+        suspects = self._suspects_of(work)
+        if suspects:
+            if not self._crash_log.is_cleared(work.job_id):
+                return False
+            tasks = [task for task in tasks if task not in suspects]
         expected_s_by_server = self._server_finder.find(work, open_servers, usable, now)
         all_started = True
-        for task in work.queued_tasks():
+        for task in tasks:
             placement = choose_server(expected_s_by_server, now, work.target_at)
             if placement is None:
                 return False
@@ -472,7 +504,77 @@
                 server, work, now
             ):
                 del expected_s_by_server[server]
-        return all_started
+        return all_started and all(task.state is not TaskState.QUEUED for task in suspects)
+
+    def _suspects_of(self, work: Work) -> list[Task]:
+        """Return the tasks of a work item that are not done and under which servers crashed."""
+        if not self._crash_log.has_suspects(work.job_id):
+            return []
+        return [
+            task
+            for task in work.tasks()
+            if task.state is not TaskState.DONE
+            and self._crash_log.is_suspect(work.task_name(task.index))
+        ]
+
+    def runs_apart(self, work: Work) -> bool:
+        """Return whether a work item waits for empty servers; see :class:`ReviewedScheduler`."""
+        return self._crash_log.has_suspects(work.job_id) and bool(self._suspects_of(work))
+
+    def _dispatch_suspects(self, now: float) -> None:
+        """Start queued tasks under which servers have crashed, each alone on a server.
+
+        If it crashes this one too, nothing else is lost, and no other task can have been the
+        cause. Those of one work item are started one by one until one of them has ended normally,
+        because each may cost a server.
+        """
+        works = [work for work in self.queue if self._crash_log.has_suspects(work.job_id)]
+        servers = self.usable_servers(now) if works else []
+        usable = UsableServers(lambda: servers, self.speeds)
+        for work in works:
+            suspects = self._suspects_of(work)
+            queued = [task for task in suspects if task.state is TaskState.QUEUED]
+            if not self._crash_log.is_cleared(work.job_id):
+                if any(self._runs_alone(work.task_name(task.index)) for task in suspects):
+                    continue
+                queued = queued[:1]
+            for task in queued:
+                if not self._start_alone(work, task, servers, usable, now):
+                    break
+            if not work.queued_tasks():
+                self.queue.remove(work)
+
+    def _start_alone(
+        self,
+        work: Work,
+        task: Task,
+        servers: Sequence[ServerState],
+        usable: UsableServers,
+        now: float,
+    ) -> bool:
+        """Start a task on an empty server, or else reserve one; return whether it was started."""
+        reserved = self._reserved_by_work.pop(work.key, None)
+        if reserved is not None:
+            reserved.is_reserved = False
+        empty = [server for server in servers if not server.run_by_task]
+        expected_s_by_server = self._server_finder.find(work, empty, usable, now)
+        placement = choose_server(expected_s_by_server, now, work.target_at)
+        if placement is not None:
+            self._start(work, task, placement, now)
+            placement.server.exclusive_run = self.run_by_task[work.task_name(task.index)]
+            return True
+        if reserved not in servers:
+            reserved = None
+            if len(self._reserved_by_work) < math.ceil(MAX_RESERVED_SHARE * len(servers)):
+                reserved = self._server_finder.find_first_empty(work, servers, now)
+        if reserved is not None:
+            reserved.is_reserved = True
+            self._reserved_by_work[work.key] = reserved
+        return False
+
+    def _runs_alone(self, task_name: str) -> bool:
+        run = self.run_by_task.get(task_name)
+        return run is not None and self.server_by_id[run.server_id].exclusive_run is run
 
     def _start(self, work: Work, task: Task, placement: Placement, now: float) -> None:
         server = placement.server
@@ -524,12 +626,13 @@
         if not self._is_known(run) or server is None:
             return
         if failure is OrderFailure.NO_ANSWER:
-            server.suspect = True
+            server.note_contact_lost()
             if run.state is RunState.STARTING:
                 run.state = RunState.LOST
             run.stop_due_at = now
             return
         self._handle_rejected_start(server, run, failure, now)
+        server.lost_run_by_task.pop(run.task_name, None)
         self._forget_run(run, RunOver.START_REJECTED)
         self._requeue(run, now)
         self._request_dispatch(now)
@@ -543,8 +646,8 @@
             server.acquired = False
         elif failure is OrderFailure.NO_ROOM:
             server.full = True
-        elif failure is OrderFailure.NOT_SENT:
-            server.suspect = True
+        elif failure in (OrderFailure.NOT_SENT, OrderFailure.REFUSED):
+            server.note_contact_lost()
         elif failure is OrderFailure.UNHEALTHY:
             self._record_end(server, succeeded=False, now=now)
             server.full = True
@@ -577,11 +680,20 @@
             self._effects.log_decision("server-answered", server=server_id)
             self._request_dispatch(now)
 
-    def handle_unreachable(self, server_id: str) -> None:
+    def handle_unreachable(self, server_id: str, failure: OrderFailure, now: float) -> None:
         """Handle a failed lease renewal: the server gets no task until it answers again."""
         server = self.server_by_id.get(server_id)
-        if server is not None:
-            server.suspect = True
+        if server is None:
+            return
+        server.note_contact_lost()
+        if failure is OrderFailure.OTHER_LIFETIME:
+            self._note_crash(server, "replaced", now)
+        elif failure is not OrderFailure.REFUSED:
+            server.refused_since = 0.0
+        elif not server.refused_since:
+            server.refused_since = now
+        elif now - server.refused_since >= REFUSED_TIMEOUT_S:
+            self._note_crash(server, "refused", now)
 
     def handle_fenced(self, server_id: str, now: float) -> None:
         """Handle a server that is owned by another process."""
@@ -625,6 +737,11 @@
         server = self.server_by_id.get(server_id)
         if server is None:
             return
+        if server.suspect or not server.acquired:
+            # It may have been taken for crashed, here or by an earlier owner.
+            born_ms = report.born_ms or server.born_ms
+            self._crash_log.note_survived(Lifetime(server_id, born_ms))
+        server.note_contact(report.born_ms)
         for end in new_ends:
             self._handle_end(server, end, now)
         listed_by_task = {run.task: run for run in report.runs}
@@ -643,7 +760,6 @@
         self._relocate_late_runs(server, now)
         server.acquired = True
         server.yielded = False
-        server.suspect = False
         server.full = False
         self._unblock_tasks(now)
         self._request_dispatch(now)
@@ -656,10 +772,79 @@
         server = self.server_by_id.get(server_id)
         if server is None:
             return
-        for run in [run for run in server.run_by_task.values() if run.accepted_at]:
+        accepted = [run for run in server.run_by_task.values() if run.accepted_at]
+        server.lost_run_by_task.update({run.task_name: run for run in accepted})
+        self._note_crash(server, "restarted", now)
+        server.lost_run_by_task.clear()
+        server.crashed_tasks.clear()
+        for run in accepted:
             self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
 
+    def _note_crash(self, server: ServerState, evidence: str, now: float) -> None:
+        """Record a crash of a server under the tasks that were there; nothing if it drained."""
+        if server.listing.draining:
+            return
+        server_id = server.listing.server_id
+        lost = set(server.lost_run_by_task)
+        is_alone = len(lost) == 1
+        # Runs that an earlier owner has ordered and that nothing is known of but their server.
+        for work in self._blocked:
+            for task in work.tasks():
+                if task.state is TaskState.BLOCKED and task.blocked_on == server_id:
+                    name = work.task_name(task.index)
+                    is_alone = is_alone and name in lost
+                    lost.add(name)
+        lifetime = Lifetime(server_id, server.born_ms)
+        crashes = self._crash_log.observe(
+            Crash(name, lifetime, is_alone, now + RECORD_TTL_S)
+            for name in sorted(lost - server.crashed_tasks)
+        )
+        # A task that has ended elsewhere since is not blamed again for the same crash.
+        server.crashed_tasks |= lost
+        if crashes:
+            self._effects.log_decision(
+                "server-crashed",
+                server=server_id,
+                born_ms=server.born_ms,
+                evidence=evidence,
+                tasks=[crash.task_name for crash in crashes],
+                crashes=[len(self._crash_log.crashes_under(c.task_name)) for c in crashes],
+                alone=is_alone,
+            )
+            self._give_up_guilty(now)
+
+    def _give_up_guilty(self, now: float) -> None:
+        """Fail the work items of tasks that crash the servers on which they run."""
+        self._crash_log_revision = self._crash_log.revision
+        for work in list(self.work_by_key.values()):
+            guilty = self._find_guilty_task(work)
+            if guilty is not None:
+                self._report_given_up(work, guilty)
+                self._drop_work(work, now)
+                self._request_dispatch(now)
+
+    def _find_guilty_task(self, work: Work) -> Task | None:
+        if not self._crash_log.has_suspects(work.job_id):
+            return None
+        for task in work.tasks():
+            name = work.task_name(task.index)
+            if task.state is not TaskState.DONE and self._crash_log.is_guilty(name):
+                return task
+        return None
+
+    def _report_given_up(self, work: Work, task: Task) -> None:
+        crashes = self._crash_log.crashes_under(work.task_name(task.index))
+        self._effects.log_decision(
+            "task-given-up",
+            job=work.job_id,
+            task=work.task_name(task.index),
+            servers=[crash.lifetime.server_id for crash in crashes],
+            alone=[crash.alone for crash in crashes],
+        )
+        last_run = max(task.next_run - 1, 1)
+        self._effects.report_failed(work, task, last_run, crashes[-1].lifetime.server_id)
+
     def _reconcile_run(
         self, run: Run, listed: RunListing | None, clock_ms: int, sent_at: float, now: float
     ) -> None:
@@ -776,7 +961,10 @@
         run.work, run.index, run.orphan_until = work, task.index, 0.0
         run.released_work = None
         run.identity = work.identity
-        self.server_by_id[run.server_id].set_run_shape(run, work.shape)
+        server = self.server_by_id[run.server_id]
+        server.set_run_shape(run, work.shape)
+        if len(server.run_by_task) == 1 and self._crash_log.is_suspect(run.task_name):
+            server.exclusive_run = run
         self._effects.log_decision(
             "run-adopted",
             job=work.job_id,
@@ -789,6 +977,8 @@
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
         run = self.run_by_task.get(end.task)
         identity = run.identity if run is not None else ""
+        if end.kind in (EndKind.DONE, EndKind.FAILED):
+            self._crash_log.clear(end.task)
         self._history.note_started(job_id_of(end.task), identity, now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
@@ -916,6 +1106,9 @@
         certainly ended are removed.
         """
         self.speeds.refresh()
+        if self._crash_log.revision != self._crash_log_revision:
+            # Another owner or process has reported a crash.
+            self._give_up_guilty(now)
         for run in list(self.run_by_task.values()):
             self._check_run(run, now)
         self._unblock_tasks(now)
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -3,6 +3,7 @@
 import pytest
 from scheduling_fakes import SERVICE, SchedulerHarness
 
+from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import (
     EndKind,
     RunEnd,
@@ -179,7 +180,7 @@
     harness.submit("job", deadline_s=9)
     harness.accept_all()
     [run] = harness.effects.started
-    harness.scheduler.handle_unreachable("s0")
+    harness.scheduler.handle_unreachable("s0", OrderFailure.NO_ANSWER, harness.now)
     harness.advance(2)
     assert "run-presumed-over" in harness.effects.events
     assert len(harness.effects.started) == 1
