Mix tasks that crash servers with other faults in the simulated cluster

The loss of the owner after each crash is now also tried in a system in which only hubs are linked to all processes.

--- a/packages/dispatch/tests/test_cluster_crashes.py
+++ b/packages/dispatch/tests/test_cluster_crashes.py
@@ -1,9 +1,20 @@
-"""Tasks that crash their servers in clusters whose owners change meanwhile."""
+"""Tasks that crash their servers in clusters whose owners change meanwhile.
+
+More seeds are run with the environment variable ``REDWINGPORT_SIMULATION_SEEDS``, FIRST:END.
+"""
+
+import os
+import random
 
 import pytest
 
-from redwingport_testbed.simulation.cluster import CRASHING, MEDIUM, Cluster
+from redwingport_testbed.simulation.cluster import CRASHING, MEDIUM, TIMEOUT_S, Cluster
+from redwingport_testbed.simulation.faults import FaultMix
 
+SEEDS_VARIABLE = "REDWINGPORT_SIMULATION_SEEDS"
+FIRST_SEED, END_SEED = map(int, os.environ.get(SEEDS_VARIABLE, "1:5").split(":"))
+
+# The body of the answer tells that the job has failed.
 FAILED = 200
 
 
@@ -33,9 +44,15 @@
 
 # Guards against losing the record with the owner: the next one started the task on server after
 # server again.
-@pytest.mark.parametrize("seed", range(1, 9))
-def test_crashes_are_remembered_when_the_owner_ends_after_each(seed: int) -> None:
-    cluster = Cluster(seed, (3, 3), servers=16, shards=2)
+@pytest.mark.parametrize(
+    ("seed", "entries"),
+    [*((seed, (3, 3)) for seed in range(1, 9)), *((seed, (4, 4, 4, 4)) for seed in (1, 2))],
+)
+def test_crashes_are_remembered_when_the_owner_ends_after_each(
+    seed: int, entries: tuple[int, ...]
+) -> None:
+    # In the larger system only hubs are linked to all others.
+    cluster = Cluster(seed, entries, servers=16, shards=2)
     with cluster.running():
         job_id = cluster.submit(CRASHING, shard=0)
         for _ in range(3):
@@ -74,3 +91,23 @@
     ]
     assert not failed
     check(cluster)
+
+
+# Guards against a task that crashes servers without limit, and against failing other jobs, while
+# processes, servers and paths fail, too.
+@pytest.mark.parametrize("seed", range(FIRST_SEED, END_SEED))
+def test_mix_of_faults_lets_no_task_crash_many_servers(seed: int) -> None:
+    choices = random.Random(f"crash mix {seed}")
+    shards, timeout_s = choices.choice([1, 2, 3]), choices.choice([TIMEOUT_S, 4.0])
+    cluster = Cluster(seed, (3, 3, 3), 24, shards, timeout_s=timeout_s)
+    with cluster.running():
+        cluster.load(10, 6.0)
+        cluster.load(0.7, 5.0, kinds=(CRASHING,))
+        FaultMix(cluster, seed).schedule(choices.choice([1, 2, 4]), 5.0)
+        cluster.world.run(16.0)
+    check(cluster)
+    others = {attempt.job_id for attempt in cluster.attempts if attempt.kind is not CRASHING}
+    given_up = {f["job"] for _, _, event, f in cluster.events if event == "task-given-up"}
+    assert not given_up & others
+    for task, crashes in cluster.crashes_by_task.items():
+        assert crashes <= 3, cluster.explain(task.partition(".")[0])
