Let requests join a job while one of its steps ends

The owner in the same process sends the events that it holds back within the call that submits a work item again, so a step may be added while the steps are iterated. The second request was answered with 500 (RuntimeError: dictionary changed size during iteration).

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -292,7 +292,8 @@
         if deadline_at <= job.deadline_at:
             return
         job.deadline_at = deadline_at
-        for work in job.work_by_step.values():
+        # An owner in this process may report the end of a step within the call, which adds others.
+        for work in list(job.work_by_step.values()):
             if work.work_id in self._work_by_id and work.submitted_to[0]:
                 self._submit(work)
 
--- a/packages/dispatch/tests/test_job_requests.py
+++ b/packages/dispatch/tests/test_job_requests.py
@@ -11,7 +11,7 @@
 from result import Ok, Result
 
 from redwingport_dispatch.front import JobApi
-from redwingport_dispatch.holder import Holder, OwnerMessage
+from redwingport_dispatch.holder import Holder, Job, JobEnd, Outcome, OwnerMessage
 from redwingport_dispatch.interfaces import (
     Configuration,
     JobRequest,
@@ -297,3 +297,37 @@
         assert (await requests.send(method=method, queue="b")).answer == (410, b"{}")
         assert (await requests.send(method="GET")).answer == (200, b"queued")
         api.complete()
+
+
+# Guards against a request that is answered with 500: an owner in this process reports the end of
+# the first step while the steps of its job are submitted again for a later deadline.
+async def test_request_joins_a_job_whose_step_ends_within_the_resubmission() -> None:
+    ends: list[JobEnd] = []
+
+    def send(owner: str, message: OwnerMessage) -> bool:
+        if isinstance(message, SubmitWork) and len(sent) == 1:
+            sent.append(message)
+            holder.handle_notification(owner, TaskNews([(message.work_id, 0, "done", 1, "s")]))
+        else:
+            sent.append(message)
+        return True
+
+    def job(timeout_s: float) -> Job:
+        shape = TaskShape(1000, 64, 0, 0.1)
+        request = JobRequest("", (StepRequest(1, shape), StepRequest(1, shape, (0,))))
+        now = anyio.current_time()
+        return Job(JOB_ID, ROUTES[0], request, now, now + 1, now + timeout_s, "identity")
+
+    async def run(timeout_s: float) -> None:
+        ends.append(await holder.run(job(timeout_s)))
+
+    sent: list[OwnerMessage] = []
+    holder = Holder("me", send, lambda owner: 0.0, Metrics())
+    holder.set_owners([ShardOwner("me", 1)], even_layout(1))
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(run, 5.0)
+        await anyio.wait_all_tasks_blocked()
+        task_group.start_soon(run, 10.0)
+        await anyio.wait_all_tasks_blocked()
+        holder.handle_notification("me", TaskNews([(2, 0, "done", 1, "s")]))
+    assert [end.outcome for end in ends] == [Outcome.COMPLETE, Outcome.COMPLETE]
