Answer a refusal by the next owner in this process as unknown

The previous owner was noted only after the call that hands a work item over, in which an owner in the same process may refuse it since ids of other jobs are compared. The job was answered with 503, which says that it never runs, while the previous owner may have started it, and that owner was not told to cancel it.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -527,13 +527,17 @@
             work.offers += 1
         elif before != work.submitted_to:
             work.handovers += 1
+        is_handover = bool(before[0]) and before != work.submitted_to
+        earlier_owners, earlier_shards = set(work.earlier_owners), set(work.earlier_shards)
+        if is_handover:
+            work.earlier_owners.add(before)
+            work.earlier_shards.add(former_shard)
+            work.earlier_owners.discard(work.submitted_to)
         if not self._send(shard_owner.owner, message):
             work.submitted_to, work.submitted_shard = before, former_shard
+            work.earlier_owners, work.earlier_shards = earlier_owners, earlier_shards
             work.offers, work.handovers = counts
-        elif before[0] and before != (shard_owner.owner, shard_owner.term):
-            work.earlier_owners.add(before)
-            work.earlier_shards.add(former_shard)
-            work.earlier_owners.discard((shard_owner.owner, shard_owner.term))
+        elif is_handover:
             self._release(work, before[0])
 
     def _release(self, work: _HeldWork, owner: str) -> None:
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -568,3 +568,28 @@
     assert (await holder.run(job)).outcome is Outcome.REFUSED
     set_owners(holder, [ShardOwner("me", 1), ShardOwner("me", 1)])
     assert logged(caplog, "works-moved") == []
+
+
+# Guards against a job that is refused although an earlier owner may have started it: an owner in
+# this process refuses it within the call that hands it over.
+async def test_job_refused_by_the_next_owner_in_this_process_is_unknown() -> None:
+    sent: list[tuple[str, OwnerMessage]] = []
+
+    def send(owner: str, message: OwnerMessage) -> bool:
+        sent.append((owner, message))
+        if owner == "me" and isinstance(message, SubmitWork):
+            holder.handle_notification("me", WorkRefused(message.work_id, 2, ID_IN_USE, 1))
+        return True
+
+    holder = Holder("me", send, lambda peer: 0.0, Metrics())
+    set_owners(holder, [ShardOwner("o", 1)])
+    ends: list[JobEnd] = []
+
+    async def run() -> None:
+        ends.append(await holder.run(make_job()))
+
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+        set_owners(holder, [ShardOwner("me", 2)])
+    assert ends[0].outcome is Outcome.UNKNOWN
