Count the resources of runs that a waiting task can't adopt

Since runs are adopted only for their own job, the run of a waiting task may stay unclaimed. It is stopped then with unknown resources, and the server got other tasks while it still ran: a server that doesn't guard its capacity had more than that.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -299,6 +299,9 @@
         told_server, told_number = task.last_run
         task.blocked_on = told_server if told_number > run.number else run.server_id
         self._blocked.add(work)
+        if not run.identity:
+            # It uses the resources of its own task, of which no more than the name is known.
+            self.server_by_id[run.server_id].set_run_shape(run, work.shape)
 
     def _displace_older(self, work: Work, now: float) -> bool:
         """Cancel work items of the same step left by another holder or an earlier submission.
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -536,3 +536,18 @@
     harness.scheduler.release(work.key, harness.now)
     harness.end(harness.effects.started[0])
     assert harness.effects.done == [("job", 0)]
+
+
+# Guards against a server that gets more than its capacity: a run that a waiting task could not
+# adopt is being stopped, and still uses the resources of the task.
+def test_run_that_is_not_adopted_uses_the_resources_of_its_task_until_it_has_ended() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    harness.scheduler.server_by_id["s0"].acquired = False
+    harness.submit("job", deadline_s=5)
+    harness.submit("other", deadline_s=5)
+    report = ServerReport(1, runs=(RunListing("job.0.0.0", 1, 10),))
+    harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
+    harness.advance(0.3)
+    run = harness.scheduler.run_by_task["job.0.0.0"]
+    assert run.state is RunState.STOPPING
+    assert [run.task_name for run in harness.effects.started] == []
