--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -110,6 +110,24 @@
     await wait_for_disconnect(scope, receive, send)
 
 
+async def send_a_head(scope: Any, receive: Any, send: Any) -> None:
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await wait_for_disconnect(scope, receive, send)
+
+
+# Guards against a log line that reports a part of an answer as sent of which no byte was.
+async def test_answer_without_a_written_byte_is_not_logged_as_partial(
+    free_tcp_port: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    async with serving(send_a_head, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(REQUEST)
+            await anyio.sleep(0.1)
+        logged = await wait_for_event(caplog, "answer-cut")
+    assert not logged["partial"]
+
+
 # Guards against answers that are lost without a trace in the logs.
 @pytest.mark.parametrize(
     "app, resets, fields",
