--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -551,3 +551,19 @@
     run = harness.scheduler.run_by_task["job.0.0.0"]
     assert run.state is RunState.STOPPING
     assert [run.task_name for run in harness.effects.started] == []
+
+
+# Guards against a server that gets more than its capacity: another server reports a later run with
+# the same task name, and the run that is still listed here is forgotten and never stopped.
+def test_listed_run_is_tracked_beside_a_later_one_on_another_server() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    for server_id, number in (("s0", 1), ("s1", 2), ("s0", 1)):
+        report = ServerReport(
+            harness.clock_ms, runs=(RunListing("job.0.0.0", number, 10),), ends=()
+        )
+        harness.scheduler.handle_report(server_id, report, harness.now, [], harness.now)
+    harness.submit("other", deadline_s=5)
+    harness.advance(0.05)
+    assert harness.effects.started == []
+    harness.advance(0.3)
+    assert {run.server_id for run in harness.effects.stopped} == {"s0", "s1"}
