--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -292,7 +292,8 @@
         if deadline_at <= job.deadline_at:
             return
         job.deadline_at = deadline_at
-        for work in job.work_by_step.values():
+        # An owner in this process may report the end of a step within the call, which adds others.
+        for work in list(job.work_by_step.values()):
             if work.work_id in self._work_by_id and work.submitted_to[0]:
                 self._submit(work)
 
@@ -526,13 +527,17 @@
             work.offers += 1
         elif before != work.submitted_to:
             work.handovers += 1
+        is_handover = bool(before[0]) and before != work.submitted_to
+        earlier_owners, earlier_shards = set(work.earlier_owners), set(work.earlier_shards)
+        if is_handover:
+            work.earlier_owners.add(before)
+            work.earlier_shards.add(former_shard)
+            work.earlier_owners.discard(work.submitted_to)
         if not self._send(shard_owner.owner, message):
             work.submitted_to, work.submitted_shard = before, former_shard
+            work.earlier_owners, work.earlier_shards = earlier_owners, earlier_shards
             work.offers, work.handovers = counts
-        elif before[0] and before != (shard_owner.owner, shard_owner.term):
-            work.earlier_owners.add(before)
-            work.earlier_shards.add(former_shard)
-            work.earlier_owners.discard((shard_owner.owner, shard_owner.term))
+        elif is_handover:
             self._release(work, before[0])
 
     def _release(self, work: _HeldWork, owner: str) -> None:
