Take no evidence from a server that was out of reach for its leases

When the first owner got through again 2 s later, connections were refused, and it blamed the run that was there at the last contact, alone at that time.

A refusal now counts only if it began before the leases of the server had ended, as the runs are over after that; a restart, removal or replacement found later still counts, but not as one under a task that was alone. A task whose machines fall silent instead of refusing connections may thus crash five servers instead of four before it is given up.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -701,7 +701,11 @@
             return
         server_id = server.listing.server_id
         lost = set(server.lost_run_by_task)
-        is_alone = len(lost) == 1
+        # A server that was out of reach may have ended the runs, and crashed under others later.
+        is_certain = (server.refused_since or now) <= server.lease_ends_at
+        if evidence == "refused" and not is_certain:
+            lost.clear()
+        is_alone = is_certain and len(lost) == 1
         # Runs that an earlier owner has ordered and that nothing is known of but their server.
         for work in self._blocked:
             for task in work.tasks():
