--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -547,7 +547,7 @@
             cpu_millis,
         )
         server.node.name = server_id
-        server.on_start = self._crash_if_deadly
+        server.on_start = self._crash_if_fatal
         address = f"10.8.0.{number}:1"
         self.server_by_id[server_id] = server
         self._server_by_address[address] = server
@@ -598,7 +598,7 @@
 
         self.world.call_later(duration_s, start)
 
-    def _crash_if_deadly(self, server: ModelServer, task: str, spec: str) -> None:
+    def _crash_if_fatal(self, server: ModelServer, task: str, spec: str) -> None:
         if spec == CRASHING.name and task.endswith(".0"):
             lifetime = server.node.lifetime
 
