Log an answer as partial only if a byte of it was sent

The line answer-cut said partial=True, at the level of a warning, for an answer of which only the head was known when its client left, although that head was still held back: the line used the server's note that the response has started, and not what was passed to the transport.

The transport of a response, which holds the head back, now tells whether it has passed a part of the response on, and the line uses that.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
@@ -59,7 +59,7 @@
     :param has_body: whether the request allows a body in its response.
     """
 
-    __slots__ = ("_close", "_has_body", "_head", "_is_head_written", "_transport")
+    __slots__ = ("_close", "_has_body", "_has_head", "_head", "_transport")
 
     def __init__(
         self, transport: asyncio.Transport, close: Callable[[], None], has_body: bool
@@ -67,15 +67,20 @@
         self._transport = transport
         self._close = close
         self._has_body = has_body
-        self._is_head_written = False
+        self._has_head = False
         self._head = b""
 
+    @property
+    def has_written(self) -> bool:
+        """Tell whether a part of the response was passed on."""
+        return self._has_head and not self._head
+
     def write(self, data: bytes) -> None:
         """Write data, or keep it if it is the head; see :class:`asyncio.Transport`."""
         if self._head:
             data, self._head = self._head + data, b""
-        elif not self._is_head_written and not data.startswith(_CONTINUE):
-            self._is_head_written = True
+        elif not self._has_head and not data.startswith(_CONTINUE):
+            self._has_head = True
             if self._has_body:
                 self._head = data
                 return
@@ -249,13 +254,14 @@
 
 
 def _log_cut_answer(cycle: RequestResponseCycle, error: Exception | None) -> None:
+    partial = cast(_ResponseTransport, cycle.transport).has_written
     log_event(
         logger,
-        logging.WARNING if cycle.response_started else logging.INFO,
+        logging.WARNING if partial else logging.INFO,
         "answer-cut",
         method=cycle.scope["method"],
         path=cycle.scope["path"],
-        partial=cycle.response_started,
+        partial=partial,
         reason=type(error).__name__ if error is not None else "closed",
     )
 
