Read no further requests of a connection above the limit

MAX_PIPELINED did not bound the requests that are read ahead: each call of receive and the end of each response resumed reading, however many requests were open. A client that sent requests without waiting for their answers was read on; its requests took memory until their turn came.

Reading is now resumed only while at most MAX_PIPELINED requests are open. One read can still exceed the limit, because the parser takes all that was read, so the excess is bounded by the size of one read (the comment says so). Input that is discarded is read as before.

The new test sends 30 requests in each of two writes while the first request waits.

--- a/packages/entry/src/redwingport_entry/http_server.py
+++ b/packages/entry/src/redwingport_entry/http_server.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 import uvicorn
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from redwingport_entry.logs import ROOT, log_event
@@ -23,7 +24,8 @@
 # Longest time in which a client can receive its answer and close the connection.
 LINGER_S = 2.0
 MAX_HEAD_BYTES = 64 * 1024
-# Requests of one connection that are read while an earlier one is being answered.
+# Requests of one connection that are read while an earlier one is being answered. One read may
+# exceed it, because the parser takes all that was read; its size bounds the excess.
 MAX_PIPELINED = 8
 _CONTINUE = b"HTTP/1.1 100 "
 _BAD_REQUEST = (
@@ -47,6 +49,25 @@
         yield
 
 
+class _PipelineFlow(FlowControl):
+    """Resume reading only while the protocol takes further requests.
+
+    uvicorn resumes it at the end of each response and in each call of ``receive``.
+
+    :param transport: transport of the connection.
+    :param takes_requests: tells whether the protocol takes further requests.
+    """
+
+    def __init__(self, transport: asyncio.Transport, takes_requests: Callable[[], bool]) -> None:
+        super().__init__(transport)
+        self._takes_requests = takes_requests
+
+    def resume_reading(self) -> None:
+        """Resume reading, unless there are too many requests; see :class:`FlowControl`."""
+        if self._takes_requests():
+            super().resume_reading()
+
+
 class _ResponseTransport:
     """Pass the head of a response on together with the first part of its body.
 
@@ -140,6 +161,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timer of the first head; see :class:`asyncio.Protocol`."""
         super().connection_made(transport)
+        self.flow = _PipelineFlow(transport, self._takes_input)
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -182,6 +204,9 @@
         else:
             self.transport.close()
 
+    def _takes_input(self) -> bool:
+        return self._discards_input or len(self._open_cycles) <= MAX_PIPELINED
+
     def _refuse_input(self, response: bytes) -> None:
         """Close the connection, after the requests that were received completely.
 
@@ -220,9 +245,8 @@
         self._stop_head_timer()
         super().on_headers_complete()
         self._open_cycles.append(self.cycle)
-        if len(self._open_cycles) <= MAX_PIPELINED:
-            # uvicorn stops to read here, and so would not see that the client has left.
-            self.flow.resume_reading()
+        # uvicorn stops to read here, and so would not see that the client has left.
+        self.flow.resume_reading()
 
     def on_body(self, body: bytes) -> None:
         """Reset the byte count, and pass a chunk of the body on."""
--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -385,18 +385,20 @@
 class PathApp:
     """Answer with the path; the first request waits until it is released or disconnected."""
 
-    def __init__(self) -> None:
+    def __init__(self, receives: bool = True) -> None:
+        self.receives = receives
         self.release = anyio.Event()
         self.first_started = anyio.Event()
         self.first_disconnected = anyio.Event()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        while (await receive())["more_body"]:
+        while self.receives and (await receive())["more_body"]:
             pass
         if scope["path"].endswith("1"):
             self.first_started.set()
             async with anyio.create_task_group() as group:
-                group.start_soon(self._watch, scope, receive, send, group.cancel_scope)
+                if self.receives:
+                    group.start_soon(self._watch, scope, receive, send, group.cancel_scope)
                 await self.release.wait()
                 group.cancel_scope.cancel()
         if not self.first_disconnected.is_set():
@@ -431,6 +433,41 @@
     assert paths(received) == [b"/jobs/%016x" % number for number in range(1, 30)]
 
 
+# Guards against a client that makes the server read all of its requests ahead. The end of a
+# response lets the server read on, too.
+@pytest.mark.parametrize("receives", [True, False])
+async def test_requests_are_read_ahead_up_to_the_limit(
+    free_tcp_port: int, monkeypatch: pytest.MonkeyPatch, receives: bool
+) -> None:
+    numbers_open = []
+    complete_head = http_server.BoundedProtocol.on_headers_complete
+
+    def count_open(protocol: http_server.BoundedProtocol) -> None:
+        complete_head(protocol)
+        numbers_open.append(len(protocol._open_cycles))
+
+    def requests(first: int, last: int) -> bytes:
+        return b"".join(numbered_request(number) for number in range(first, last + 1))
+
+    monkeypatch.setattr(http_server.BoundedProtocol, "on_headers_complete", count_open)
+    app = PathApp(receives)
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(requests(1, 30))
+            await app.first_started.wait()
+            await anyio.sleep(0.05)
+            sock.sendall(requests(31, 60))
+            # Gives the server time to read the input before.
+            await run_sync(answer_of, free_tcp_port, CLOSING_REQUEST)
+            assert max(numbers_open) == 30
+            app.release.set()
+            received = b""
+            while len(paths(received)) < 60 or not received.endswith(b"3c"):
+                received += await run_sync(sock.recv, 65536)
+    assert paths(received) == [b"/jobs/%016x" % number for number in range(1, 61)]
+    assert max(numbers_open) <= http_server.MAX_PIPELINED + 30
+
+
 # Guards against an answer that is lost because the input after its request is refused.
 @pytest.mark.parametrize("after", [b"no request\r\n\r\n", b"GET /" + b"x" * 70_000])
 async def test_request_before_malformed_input_is_answered(
