Answer a request that fails unexpectedly as unknown

An unexpected error while a job was handled reached the HTTP server, which answered 500 in plain text. The protocol names neither that status nor that body: a client sends a job again after a 502 or 504, and knows after a 429 or 503 that nothing ran. After a 500 it did neither, although the job may have started.

Such a request is now answered 504, which leaves its outcome open, and logged as request-failed with its traceback. Cancellation is not caught.

The tests of a failing submission, read and deletion failed before: the errors left the application (an exception group with the ValueError, and two times AttributeError). The test that a cancelled request gets no answer passed before, too.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -116,6 +116,12 @@
         "`partial` tells whether a part of it was",
         ("method", "path", "partial", "reason"),
     ),
+    LogEvent(
+        "request-failed",
+        _P,
+        "a request was answered 504 because of an unexpected error",
+        ("method", "path", "traceback"),
+    ),
     LogEvent(
         "request-joined",
         _H,
--- a/packages/dispatch/src/redwingport_dispatch/front.py
+++ b/packages/dispatch/src/redwingport_dispatch/front.py
@@ -2,6 +2,7 @@
 
 import logging
 import re
+import traceback
 from collections.abc import Awaitable, Callable, MutableMapping, Sequence
 from typing import Any, Protocol
 
@@ -20,7 +21,7 @@
 from redwingport_dispatch.interfaces import Configuration, JobFormat, JobState, Route
 from redwingport_dispatch.routes import RouteTable
 from redwingport_dispatch.scheduling.admission import TOO_LATE
-from redwingport_entry.logs import DECISIONS, log_event
+from redwingport_entry.logs import DECISIONS, ROOT, log_event
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 # Timeout of a job when neither the client nor the queue sets one.
@@ -29,6 +30,7 @@
 NO_CONFIGURATION_RETRY_AFTER_S = 1
 STOPPING_RETRY_AFTER_S = 1
 
+logger = logging.getLogger(ROOT)
 decisions = logging.getLogger(DECISIONS)
 
 Scope = MutableMapping[str, Any]
@@ -112,7 +114,12 @@
         if isinstance(body, Err):
             response = body.err_value
         else:
-            response = await self._respond(scope, receive, body.ok_value, received_at)
+            try:
+                response = await self._respond(scope, receive, body.ok_value, received_at)
+            except Exception as error:
+                # Clients repeat a request after a 504, but not after a 500.
+                _log_failed(scope, error)
+                response = Response(504)
         if response is not None:
             await self._send(send, response)
 
@@ -280,5 +287,16 @@
         await send({"type": "http.response.body", "body": b""})
 
 
+def _log_failed(scope: Scope, error: Exception) -> None:
+    log_event(
+        logger,
+        logging.ERROR,
+        "request-failed",
+        method=scope["method"],
+        path=scope["path"],
+        traceback="".join(traceback.format_exception(error)),
+    )
+
+
 def _retry_later(status: int, retry_after_s: int) -> Response:
     return Response(status, b"{}", [(b"retry-after", b"%d" % retry_after_s)])
--- a/packages/dispatch/tests/test_front.py
+++ b/packages/dispatch/tests/test_front.py
@@ -45,9 +45,13 @@
 
 
 class JobHolder:
-    """Run each job until it is released."""
+    """Run each job until it is released.
 
-    def __init__(self) -> None:
+    :param error: raised instead of an end.
+    """
+
+    def __init__(self, error: Exception | None = None) -> None:
+        self._error = error
         self.started = anyio.Event()
         self.release = anyio.Event()
         self.was_cancelled = False
@@ -59,6 +63,8 @@
         except BaseException:
             self.was_cancelled = True
             raise
+        if self._error is not None:
+            raise self._error
         return JobEnd(Outcome.COMPLETE, "")
 
 
@@ -70,10 +76,10 @@
         self._messages = list(messages)
         self.answer: list[Any] = []
 
-    async def submit(self) -> None:
+    async def submit(self, method: str = "POST") -> None:
         scope = {
             "type": "http",
-            "method": "POST",
+            "method": method,
             "path": PATH,
             "headers": [(b"host", b"host")],
         }
@@ -136,6 +142,43 @@
     assert client.answer == [504, None, None, b"{}"]
 
 
+# Guards against a 500, which clients don't repeat, for a job whose outcome is unknown.
+async def test_job_that_fails_unexpectedly_is_answered_as_unknown(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    holder = JobHolder(ValueError("no such task"))
+    holder.release.set()
+    client = Client(make_front(holder), REQUEST)
+    await client.submit()
+    assert client.answer == [504, None, None, b"{}"]
+    (record,) = [record for record in caplog.records if record.getMessage() == "request-failed"]
+    fields = vars(record)["fields"]
+    assert (record.levelname, fields["method"], fields["path"]) == ("ERROR", "POST", PATH)
+    assert "ValueError: no such task" in fields["traceback"]
+    assert "in run" in fields["traceback"]
+
+
+# Guards against a 500 for a request about a job whose state is unknown.
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+async def test_request_that_fails_unexpectedly_is_answered_as_unknown(method: str) -> None:
+    # The holder lacks what answers these.
+    client = Client(make_front(JobHolder()), REQUEST)
+    await client.submit(method)
+    assert client.answer == [504, None, None, b"{}"]
+
+
+# Guards against an answer of a request that is cancelled.
+async def test_cancelled_request_is_not_answered() -> None:
+    holder = JobHolder()
+    client = Client(make_front(holder), REQUEST)
+    async with anyio.create_task_group() as group:
+        group.start_soon(client.submit)
+        await holder.started.wait()
+        group.cancel_scope.cancel()
+    assert holder.was_cancelled
+    assert client.answer == []
+
+
 # Guards against jobs that are started and cut off shortly afterwards.
 async def test_job_is_refused_after_the_drain() -> None:
     holder = JobHolder()
