State that clients which close their sending side count as gone

The server takes the end of a client's input as the end of its connection, as it cannot tell one that still waits for its answer from one that has left.

--- a/packages/entry/tests/test_http_server.py
+++ b/packages/entry/tests/test_http_server.py
@@ -529,6 +529,17 @@
         await app.first_disconnected.wait()
 
 
+async def test_client_that_closes_its_sending_side_counts_as_gone(free_tcp_port: int) -> None:
+    app = PathApp()
+    async with serving(app, free_tcp_port):
+        with closing(connect(free_tcp_port)) as sock:
+            sock.sendall(numbered_request(1))
+            await app.first_started.wait()
+            sock.shutdown(socket.SHUT_WR)
+            await app.first_disconnected.wait()
+            assert await run_sync(read_to_end, sock) == b""
+
+
 def start_program(port: int, mode: str) -> subprocess.Popen[bytes]:
     program = subprocess.Popen(
         [sys.executable, "-c", PROGRAM, str(port), mode], stdout=subprocess.PIPE
