Track each listed run on its own server, not by its task's name alone

Two servers can list runs with one task name: of an earlier owner that was cut off, or of another job with the same id. An owner that took both servers over knew one run a name. A later run on s1 made it forget the run that s0 still listed, as over; a lower one, or one beside a run of the owner's own, was passed over. Nothing stopped such a run while its server was renewed, and the next task was placed on top of it, beyond the capacity of the server.

Each run is now tracked on the server that lists it: it keeps its server from getting tasks until its holder can have claimed it, and is stopped then. The run that is found by the name is the one of a work item, or else the latest; when it ends, another run with the name takes its place, and the task waits for the end of that one. A task adopts the run that its holder was told of, whichever of the two was listed first.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -90,6 +90,9 @@
         self.server_by_id: dict[str, ServerState] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
         self.run_by_task: dict[str, Run] = {}
+        # Runs on other servers with the name of a run in `run_by_task`: of an earlier owner, or of
+        # another job with the same id.
+        self._other_runs_by_task: dict[str, list[Run]] = {}
         self.queue = WorkQueue()
         self.speeds = Speeds()
         self._effects = effects
@@ -276,12 +279,12 @@
             task.next_run = max(task.next_run, unclaimed.end.number + 1)
             if self._claim_end(work, task, unclaimed):
                 return
+        own_run = self._find_adoptable_run(work, task)
         run = self.run_by_task.get(name)
-        if run is not None:
-            if self._may_adopt(run, work, task):
-                self._adopt_run(run, work, task)
-            else:
-                self._await_run(run, work, task)
+        if own_run is not None:
+            self._adopt_run(own_run, work, task)
+        elif run is not None:
+            self._await_run(run, work, task)
         elif may_run_already:
             task.state = TaskState.BLOCKED
             task.blocked_on = placed_on
@@ -302,6 +305,11 @@
         self._effects.report_done(work, task, end.number, unclaimed.server_id)
         return True
 
+    def _find_adoptable_run(self, work: Work, task: Task) -> Run | None:
+        """Return the known run that a task may adopt, or None."""
+        runs = self._runs_of(work.task_name(task.index))
+        return next((run for run in runs if self._may_adopt(run, work, task)), None)
+
     @staticmethod
     def _may_adopt(run: Run, work: Work, task: Task) -> bool:
         return (
@@ -382,9 +390,9 @@
     def _claim_told_run(self, work: Work, task: Task) -> None:
         """Claim the run that the holder has named, if a server has reported it or its end."""
         name = work.task_name(task.index)
-        run = self.run_by_task.get(name)
+        run = self._find_adoptable_run(work, task)
         unclaimed = self._history.find_unclaimed_end(name)
-        if run is not None and self._may_adopt(run, work, task):
+        if run is not None:
             self._adopt_run(run, work, task)
         elif unclaimed is not None:
             self._claim_end(work, task, unclaimed)
@@ -752,7 +760,7 @@
             listed = listed_by_task.get(run.task_name)
             self._reconcile_run(run, listed, report.clock_ms, sent_at, now)
         for listed in report.runs:
-            known = self.run_by_task.get(listed.task)
+            known = server.run_by_task.get(listed.task)
             if known is not None and known.work is None and listed.number > known.number:
                 # Another owner knew that the earlier run was over when it ordered this one.
                 self._forget_run(known, RunOver.NOT_LISTED)
@@ -933,7 +941,13 @@
             orphan_until=now + ORPHAN_GRACE_S,
         )
         self._history.note_started(job_id_of(task_name), "", now)
-        self.run_by_task[task_name] = run
+        known = self.run_by_task.get(task_name)
+        if known is not None:
+            self._other_runs_by_task.setdefault(task_name, []).append(run)
+            if known.work is None and known.number < number:
+                self._make_current(run)
+        else:
+            self.run_by_task[task_name] = run
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before this report.
         server.lease_ends_at = max(server.lease_ends_at, now + self._longest_lease_s())
@@ -962,6 +976,7 @@
         task.last_run = (run.server_id, run.number)
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
+        self._make_current(run)
         run.released_work = None
         run.identity = work.identity
         server = self.server_by_id[run.server_id]
@@ -978,7 +993,7 @@
         )
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
-        run = self.run_by_task.get(end.task)
+        run = server.run_by_task.get(end.task) or self.run_by_task.get(end.task)
         identity = run.identity if run is not None else ""
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             self._crash_log.clear(end.task)
@@ -1068,17 +1083,42 @@
 
     # Runs
 
+    def _runs_of(self, task_name: str) -> list[Run]:
+        """Return the known runs with the name of a task, on all servers."""
+        run = self.run_by_task.get(task_name)
+        return [run, *self._other_runs_by_task.get(task_name, ())] if run is not None else []
+
+    def _make_current(self, run: Run) -> None:
+        """Let a known run take the place of the one that is found by the name of the task."""
+        current = self.run_by_task[run.task_name]
+        if current is not run:
+            others = self._other_runs_by_task[run.task_name]
+            others[others.index(run)] = current
+            self.run_by_task[run.task_name] = run
+
     def _is_known(self, run: Run) -> bool:
-        return self.run_by_task.get(run.task_name) is run
+        return run in self._runs_of(run.task_name)
 
     def _forget_run(self, run: Run, over: RunOver) -> None:
         run.over = over
-        if self._is_known(run):
-            del self.run_by_task[run.task_name]
+        self._remove_from_index(run)
         server = self.server_by_id.get(run.server_id)
         if server is not None:
             server.remove_run(run)
 
+    def _remove_from_index(self, run: Run) -> None:
+        if not self._is_known(run):
+            return
+        others = self._other_runs_by_task.get(run.task_name, [])
+        if not others:
+            del self.run_by_task[run.task_name]
+            return
+        if self.run_by_task[run.task_name] is run:
+            self._make_current(max(others, key=lambda other: other.number))
+        others.remove(run)
+        if not others:
+            del self._other_runs_by_task[run.task_name]
+
     def _requeue(self, run: Run, now: float) -> None:
         """Requeue the task of a run that has certainly ended, or fail its work item."""
         work = run.work
@@ -1090,6 +1130,10 @@
             self._effects.report_failed(work, task, run.number, run.server_id)
             self._drop_work(work, now)
             return
+        other = self.run_by_task.get(run.task_name)
+        if other is not None:
+            self._await_run(other, work, task)
+            return
         task.state = TaskState.QUEUED
         task.after = run.over or RunOver.NONE_KNOWN
         self.queue.add(work)
@@ -1112,8 +1156,9 @@
         if self._crash_log.revision != self._crash_log_revision:
             # Another owner or process has reported a crash.
             self._give_up_guilty(now)
-        for run in list(self.run_by_task.values()):
-            self._check_run(run, now)
+        for task_name in list(self.run_by_task):
+            for run in self._runs_of(task_name):
+                self._check_run(run, now)
         self._unblock_tasks(now)
         self._review.review_blocked(list(self._blocked), now)
         self._review.review(self.queue, now)
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -567,3 +567,52 @@
     assert harness.effects.started == []
     harness.advance(0.3)
     assert {run.server_id for run in harness.effects.stopped} == {"s0", "s1"}
+
+
+# Guards against a run that is never stopped: it has the name of a task that runs on another server.
+def test_listed_run_beside_the_own_run_of_a_task_is_stopped() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    harness.submit("job", deadline_s=5)
+    harness.accept_all()
+    [run] = harness.effects.started
+    other_id = "s1" if run.server_id == "s0" else "s0"
+    report = ServerReport(harness.clock_ms, runs=(RunListing("job.0.0.0", 3, 10),))
+    harness.scheduler.handle_report(other_id, report, harness.now, [], harness.now)
+    harness.advance(0.3)
+    assert [(run.server_id, run.number) for run in harness.effects.stopped] == [(other_id, 3)]
+    harness.end(harness.effects.stopped[0], EndKind.STOPPED)
+    assert not harness.scheduler.server_by_id[other_id].run_by_task
+    harness.end(run)
+    assert harness.effects.done == [("job", 0)]
+
+
+# Guards against a task that runs twice: it starts again while another server still lists a run with
+# its name.
+def test_failed_task_waits_for_a_listed_run_on_another_server() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    harness.submit("job", deadline_s=5)
+    harness.accept_all()
+    [run] = harness.effects.started
+    other_id = "s1" if run.server_id == "s0" else "s0"
+    report = ServerReport(harness.clock_ms, runs=(RunListing("job.0.0.0", 3, 10),))
+    harness.scheduler.handle_report(other_id, report, harness.now, [], harness.now)
+    harness.end(run, EndKind.FAILED)
+    harness.advance(0.3)
+    assert harness.effects.started == [run]
+    harness.end(harness.effects.stopped[0], EndKind.STOPPED)
+    harness.advance(0.01)
+    assert [run.number for run in harness.effects.started] == [1, 4]
+
+
+# Guards against a task that is started again although its run is listed: another server has listed
+# a later run with its name before.
+def test_task_adopts_its_own_run_beside_a_later_one_on_another_server() -> None:
+    harness = SchedulerHarness(servers=2, cpu_millis=7000)
+    for server_id, number in (("s1", 2), ("s0", 1)):
+        report = ServerReport(harness.clock_ms, runs=(RunListing("job.0.0.0", number, 10),))
+        harness.scheduler.handle_report(server_id, report, harness.now, [], harness.now)
+    harness.submit("job", resumed=True, placed={0: "s0"}, deadline_s=5)
+    harness.advance(0.3)
+    assert [run.server_id for run in harness.effects.stopped] == ["s1"]
+    harness.end(harness.scheduler.run_by_task["job.0.0.0"])
+    assert harness.effects.done == [("job", 0)]
