Place nothing beside a run whose resources are unknown

A run that a server lists and that belongs to no known work item counted as using nothing. Its server got no task until the run could be claimed, but got one as soon as the run was being stopped, although what is being stopped still uses its resources: on a server that doesn't guard its capacity, both ran at once for the time of the stop.

Such a server is now closed until the run is adopted, or waited for by its task, which both make its resources known, or has ended.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -10,7 +10,6 @@
     RunListing,
     ServerListing,
     ServerReport,
-    TaskShape,
 )
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
@@ -23,7 +22,7 @@
 from redwingport_dispatch.scheduling.queue import WorkQueue
 from redwingport_dispatch.scheduling.review import QueueReview
 from redwingport_dispatch.scheduling.server_finder import ServerFinder, UsableServers
-from redwingport_dispatch.scheduling.servers import ServerState
+from redwingport_dispatch.scheduling.servers import UNKNOWN_SHAPE, ServerState
 from redwingport_dispatch.scheduling.speeds import Speeds
 from redwingport_dispatch.scheduling.stragglers import ends_sooner_elsewhere, is_late, is_stalled
 from redwingport_dispatch.scheduling.work import (
@@ -932,7 +931,7 @@
             task_name=task_name,
             number=number,
             server_id=server.listing.server_id,
-            shape=TaskShape(0),
+            shape=UNKNOWN_SHAPE,
             work=None,
             index=0,
             state=RunState.RUNNING,
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -13,6 +13,9 @@
 # servers last some seconds, and while nothing runs there, their end cannot be observed.
 OBSERVED_SLOWNESS_TTL_S = 2.0
 
+# Shape of a run that belongs to no known work item.
+UNKNOWN_SHAPE = TaskShape(0)
+
 
 @dataclass(slots=True, eq=False)
 class ServerState:
@@ -64,6 +67,7 @@
     is_reserved: bool = False
     observed_slowness: float = 0.0
     observed_until: float = 0.0
+    _unknown_shapes: int = 0
     _used_cpu_millis: int = 0
     _used_memory_mb: int = 0
     _used_gpus: int = 0
@@ -75,8 +79,17 @@
 
     @property
     def is_closed(self) -> bool:
-        """Return whether it gets no task: after a rejection, or for a task that runs alone."""
-        return self.full or self.is_reserved or self.exclusive_run is not None
+        """Return whether it gets no task.
+
+        It is closed after a rejection, for a task that runs alone, and while the resources that
+        one of its runs uses are unknown.
+        """
+        return (
+            self.full
+            or self.is_reserved
+            or self.exclusive_run is not None
+            or self._unknown_shapes > 0
+        )
 
     @property
     def free_cpu_millis(self) -> int:
@@ -166,6 +179,8 @@
         self._add_usage(shape, 1)
 
     def _add_usage(self, shape: TaskShape, sign: int) -> None:
+        if shape is UNKNOWN_SHAPE:
+            self._unknown_shapes += sign
         self._used_cpu_millis += sign * shape.cpu_millis
         self._used_memory_mb += sign * shape.memory_mb
         self._used_gpus += sign * shape.gpus
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -616,3 +616,17 @@
     assert [run.server_id for run in harness.effects.stopped] == ["s1"]
     harness.end(harness.scheduler.run_by_task["job.0.0.0"])
     assert harness.effects.done == [("job", 0)]
+
+
+# Guards against a server that gets more than its capacity: a run that no process has claimed is
+# being stopped, and what it uses is unknown.
+def test_server_gets_no_task_until_an_unclaimed_run_has_ended() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    report = ServerReport(harness.clock_ms, runs=(RunListing("job.0.0.0", 1, 10),))
+    harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
+    harness.submit("other", deadline_s=5)
+    harness.advance(0.3)
+    [unclaimed] = harness.effects.stopped
+    assert harness.effects.started == []
+    harness.end(unclaimed, EndKind.STOPPED)
+    assert [run.task_name for run in harness.effects.started] == ["other.0.0.0"]
