Name what is kept when two jobs have one id, and who has left a job

The work item that is refused for another job with its id, and the one that is kept, are named before the call. A holder passed "deadline" as the reason also for a job that had ended normally; it now tells only whether the client has left. The run that a holder knows of is called its last run, as in the data model, and the docstring of `_join` says that it extends the deadline.

No change of behaviour: the tests of the scheduler, the holder and requests for jobs pass unchanged.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -265,7 +265,7 @@
             return end
         known.requests += 1
         known.waiters += 1
-        reason = "client left"
+        client_left = True
         try:
             if known is job:
                 self._submit_ready_steps(job)
@@ -273,14 +273,18 @@
                 self._join(known, job.deadline_at)
             with anyio.move_on_after(max(0.0, job.deadline_at - current_time())):
                 await known.ended.wait()
-            reason = "deadline"
+            client_left = False
         finally:
             known.waiters -= 1
-            self._leave(known, reason)
-        return known.end or JobEnd(Outcome.UNKNOWN, reason)
+            self._leave(known, client_left)
+        return known.end or JobEnd(Outcome.UNKNOWN, "deadline")
 
     def _join(self, job: Job, deadline_at: float) -> None:
-        """Let a further request wait for a job."""
+        """Let a further request wait for a job, whose deadline is extended to that of the request.
+
+        :param job: the job.
+        :param deadline_at: monotonic time until which the client waits, in seconds.
+        """
         log_event(
             decisions,
             logging.INFO,
@@ -297,10 +301,12 @@
             if work.work_id in self._work_by_id and work.submitted_to[0]:
                 self._submit(work)
 
-    def _leave(self, job: Job, reason: str) -> None:
-        """End an open job for which no request waits any more, and forget it then.
+    def _leave(self, job: Job, client_left: bool) -> None:
+        """Forget a job for which no request waits any more; an open one is ended before.
 
-        :param reason: why the last request has stopped to wait.
+        :param job: the job.
+        :param client_left: whether the last request was left by its client; if not, the job has
+            ended or its deadline has passed.
         """
         if job.waiters:
             if job.end is None:
@@ -310,14 +316,14 @@
                     "request-left",
                     job=job.job_id,
                     queue=job.route.name,
-                    reason=reason,
+                    reason="client left" if client_left else "deadline",
                     waiters=job.waiters,
                 )
             return
-        if job.end is None and reason == "deadline":
-            self._end_at_deadline(job)
+        if job.end is None and client_left:
+            self._end(job, JobEnd(Outcome.CANCELLED, "client left"))
         elif job.end is None:
-            self._end(job, JobEnd(Outcome.CANCELLED, reason))
+            self._end_at_deadline(job)
         del self.job_by_id[job.job_id]
 
     def find(self, job_id: str, queue: str) -> Job | None:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -322,8 +322,8 @@
         task.next_run = max(task.next_run, run.number + 1)
         task.earlier_run = run
         task.state = TaskState.BLOCKED
-        told_server, told_number = task.last_run
-        task.blocked_on = told_server if told_number > run.number else run.server_id
+        last_server, last_number = task.last_run
+        task.blocked_on = last_server if last_number > run.number else run.server_id
         self._blocked.add(work)
         if not run.identity:
             # It uses the resources of its own task, of which no more than the name is known.
@@ -342,9 +342,12 @@
             elif other.holder != work.holder:
                 # The tasks of the two jobs have the same names at the servers. If this one comes
                 # from an earlier owner, it may be the one that runs.
-                later = other if work.resumed and not other.ever_started else work
-                self._refuse_namesake(later, other if later is work else work, now)
-                if later is work:
+                if work.resumed and not other.ever_started:
+                    refused, kept = other, work
+                else:
+                    refused, kept = work, other
+                self._refuse_namesake(refused, kept, now)
+                if refused is work:
                     return False
                 continue
             self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
@@ -353,13 +356,18 @@
             self._drop_work(other, now, logs_ends=True)
         return True
 
-    def _refuse_namesake(self, work: Work, other: Work, now: float) -> None:
-        """Refuse a work item, or abandon it if it has started, as another job has its id."""
+    def _refuse_namesake(self, work: Work, kept: Work, now: float) -> None:
+        """Refuse a work item, or abandon it if it has started, as another job has its id.
+
+        :param work: the work item.
+        :param kept: the work item of the other job.
+        :param now: monotonic time, in seconds.
+        """
         if self._history.has_started(work.job_id, work.identity):
             self._effects.abandon(work)
             self._forget_work(work)
         else:
-            retry_after_s = admission.retry_after_s(other.target_at - now)
+            retry_after_s = admission.retry_after_s(kept.target_at - now)
             self.refuse(work, admission.ID_IN_USE, retry_after_s, {})
 
     def _resubmit(
@@ -371,23 +379,23 @@
         """
         work.deadline_at = max(work.deadline_at, again.deadline_at)
         self._report_done_again(work)
-        for index, told in again.task_by_index.items():
+        for index, reported in again.task_by_index.items():
             task = work.task_by_index.get(index)
             if task is None or task.state not in (TaskState.QUEUED, TaskState.BLOCKED):
                 continue
             if not task.blocked_on:
                 task.blocked_on = placed_by_index.get(index, "")
-            if told.next_run > task.last_run[1] + 1:
-                task.last_run = told.last_run
-                task.next_run = max(task.next_run, told.next_run)
-                self._claim_told_run(work, task)
+            if reported.next_run > task.last_run[1] + 1:
+                task.last_run = reported.last_run
+                task.next_run = max(task.next_run, reported.next_run)
+                self._claim_last_run(work, task)
         if not work.queued_tasks():
             self.queue.remove(work)
         if work.is_done():
             self._finish(work, now)
 
-    def _claim_told_run(self, work: Work, task: Task) -> None:
-        """Claim the run that the holder has named, if a server has reported it or its end."""
+    def _claim_last_run(self, work: Work, task: Task) -> None:
+        """Claim the last run that the holder knows of, if a server has reported it or its end."""
         name = work.task_name(task.index)
         run = self._find_adoptable_run(work, task)
         unclaimed = self._history.find_unclaimed_end(name)
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -569,7 +569,7 @@
     assert {run.server_id for run in harness.effects.stopped} == {"s0", "s1"}
 
 
-# Guards against a run that is never stopped: it has the name of a task that runs on another server.
+# Guards against a run that is never stopped, as a task with its name runs on another server.
 def test_listed_run_beside_the_own_run_of_a_task_is_stopped() -> None:
     harness = SchedulerHarness(servers=2, cpu_millis=7000)
     harness.submit("job", deadline_s=5)
@@ -586,8 +586,8 @@
     assert harness.effects.done == [("job", 0)]
 
 
-# Guards against a task that runs twice: it starts again while another server still lists a run with
-# its name.
+# Guards against a task that runs twice: it starts again while another server still lists a run
+# with its name.
 def test_failed_task_waits_for_a_listed_run_on_another_server() -> None:
     harness = SchedulerHarness(servers=2, cpu_millis=7000)
     harness.submit("job", deadline_s=5)
