Wait for the runs of a job with the same id that was given up

A work item that comes from an earlier owner waits until the servers of that owner have listed their runs, or the leases have ended. If it was given up or refused before, the owner forgot what it had waited for. The client sends its job again, or another one with the id is queued, and the owner started tasks of the same names at once, while the earlier owner still stopped the first runs: tasks ran twice at a time.

The owner now remembers such work items until the time at which no run of theirs can be left, and tasks of a job with the id wait as those of the first did. This holds as well for tasks that were queued already when the other job came and was refused.

The three tests failed before: each started a task of the name at once.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -59,7 +59,7 @@
 
 
 class History:
-    """Keep ended and refused work items, started jobs and unclaimed ends for some seconds."""
+    """Keep ended, refused and blocked work items, started jobs and unclaimed ends."""
 
     def __init__(self) -> None:
         self._ended_by_key: dict[WorkKey, _EndedWork] = {}
@@ -67,6 +67,7 @@
         self._passed_on_by_step: dict[StepKey, dict[WorkKey, Refusal]] = {}
         self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
         self._started_until_by_job: dict[JobKey, float] = {}
+        self._blocked_by_job_id: dict[str, Work] = {}
 
     def note_ended(self, work: Work, now: float) -> None:
         """Record a work item whose tasks are all done."""
@@ -126,6 +127,17 @@
         started = self._started_until_by_job
         return (job_id, identity) in started or (job_id, "") in started
 
+    def note_blocked(self, work: Work) -> None:
+        """Record a work item that was given up while runs of its tasks may exist elsewhere."""
+        known = self._blocked_by_job_id.get(work.job_id)
+        if known is None or known.safe_at < work.safe_at:
+            self._blocked_by_job_id[work.job_id] = work
+
+    def find_blocked(self, job_id: str, now: float) -> Work | None:
+        """Return a work item of that id of which runs may exist elsewhere, or None."""
+        work = self._blocked_by_job_id.get(job_id)
+        return work if work is not None and now < work.safe_at else None
+
     def note_unclaimed_end(self, end: RunEnd, server_id: str, identity: str, now: float) -> None:
         """Record the end of a run that belongs to no known work item.
 
@@ -168,6 +180,9 @@
             for task, unclaimed in self._unclaimed_by_task.items()
             if now < unclaimed.expires_at
         }
+        self._blocked_by_job_id = {
+            job_id: work for job_id, work in self._blocked_by_job_id.items() if now < work.safe_at
+        }
         self._started_until_by_job = {
             job: until for job, until in self._started_until_by_job.items() if now < until
         }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -199,9 +199,6 @@
             return
         work.late = now + work.shape.estimate_s > work.target_at
         work.resumed = resumed
-        if not self._displace_older(work, now):
-            return
-        self.work_by_key[work.key] = work
         silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
         settled_at = max(self._settled_at, now)
         work.safe_at = now + self._longest_lease_s() - silent_s if resumed else settled_at
@@ -211,8 +208,15 @@
             work.handover_until = now + HANDOVER_REPORT_S
         else:
             work.handover_until = now if resumed else settled_at
+        if not self._displace_older(work, now):
+            return
+        self.work_by_key[work.key] = work
+        blocked = self._history.find_blocked(work.job_id, now)
+        if blocked is not None:
+            work.safe_at = max(work.safe_at, blocked.safe_at)
+            work.other_servers = work.other_servers or blocked.other_servers
         work.ever_started = resumed or self._history.has_started(work.job_id, work.identity)
-        may_run_already = resumed or now < self._settled_at
+        may_run_already = resumed or now < self._settled_at or blocked is not None
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), may_run_already)
         if any(
@@ -348,6 +352,9 @@
                     refused, kept = work, other
                 self._refuse_namesake(refused, kept, now)
                 if refused is work:
+                    if work.resumed:
+                        self._history.note_blocked(work)
+                        self._block_queued_tasks(kept, work)
                     return False
                 continue
             self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
@@ -356,6 +363,16 @@
             self._drop_work(other, now, logs_ends=True)
         return True
 
+    def _block_queued_tasks(self, work: Work, other: Work) -> None:
+        """Let queued tasks wait while runs of another job with their names may exist elsewhere."""
+        work.safe_at = max(work.safe_at, other.safe_at)
+        work.other_servers = work.other_servers or other.other_servers
+        for task in work.queued_tasks():
+            task.state = TaskState.BLOCKED
+            task.blocked_on = ""
+            self._blocked.add(work)
+        self.queue.remove(work)
+
     def _refuse_namesake(self, work: Work, kept: Work, now: float) -> None:
         """Refuse a work item, or abandon it if it has started, as another job has its id.
 
@@ -424,6 +441,8 @@
 
     def _forget_work(self, work: Work) -> None:
         self.work_by_key.pop(work.key, None)
+        if work in self._blocked:
+            self._history.note_blocked(work)
         reserved = self._reserved_by_work.pop(work.key, None)
         if reserved is not None:
             reserved.is_reserved = False
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -250,3 +250,39 @@
     harness.advance(0.05)
     assert harness.effects.started == [stale]
     assert harness.effects.events.count("run-adopted") == 1
+
+
+# Guards against a task that runs twice: its job was given up while a server of an earlier owner
+# had not listed its runs yet, and was then submitted again, or another one with its id.
+@pytest.mark.parametrize("identity", ["identity", "other"])
+def test_task_waits_for_the_runs_of_a_job_with_its_id_that_was_given_up(identity: str) -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.add_server("s1", acquired=False)
+    harness.submit("job", resumed=True, placed={0: "s1"}, deadline_s=0.3, target_s=0.3)
+    harness.advance(0.31)
+    assert harness.effects.abandoned == ["job"]
+    harness.submit("job", holder="second", identity=identity, deadline_s=5, target_s=5)
+    harness.advance(0.1)
+    assert harness.effects.started == []
+    harness.report("s1")
+    harness.advance(0.01)
+    assert [run.task_name for run in harness.effects.started] == ["job.0.0.0"]
+
+
+# Guards against a task that runs twice: a job with its id comes from an earlier owner and is
+# refused, and its runs are still on a server of that owner.
+def test_queued_task_waits_for_the_runs_of_a_refused_job_with_its_id() -> None:
+    harness = SchedulerHarness(servers=1, cpu_millis=7000)
+    harness.submit("first", estimate_s=0.4)
+    harness.accept_all()
+    kept = harness.submit("job", tasks=2, identity="other", deadline_s=5, target_s=5)
+    kept.ever_started = True
+    harness.add_server("s1", acquired=False)
+    harness.submit("job", holder="second", resumed=True, placed={0: "s1"})
+    assert [job for job, _, _ in harness.effects.refused] == ["job"]
+    harness.end(harness.effects.started[0])
+    harness.advance(0.1)
+    assert [run.task_name for run in harness.effects.started] == ["first.0.0.0"]
+    harness.report("s1")
+    harness.advance(0.01)
+    assert len(harness.effects.started) == 3
