--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -10,7 +10,6 @@
     RunListing,
     ServerListing,
     ServerReport,
-    TaskShape,
 )
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_dispatch.ownership.leases import max_local_duration_s
@@ -23,7 +22,7 @@
 from redwingport_dispatch.scheduling.queue import WorkQueue
 from redwingport_dispatch.scheduling.review import QueueReview
 from redwingport_dispatch.scheduling.server_finder import ServerFinder, UsableServers
-from redwingport_dispatch.scheduling.servers import ServerState
+from redwingport_dispatch.scheduling.servers import UNKNOWN_SHAPE, ServerState
 from redwingport_dispatch.scheduling.speeds import Speeds
 from redwingport_dispatch.scheduling.stragglers import ends_sooner_elsewhere, is_late, is_stalled
 from redwingport_dispatch.scheduling.work import (
@@ -90,6 +89,9 @@
         self.server_by_id: dict[str, ServerState] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
         self.run_by_task: dict[str, Run] = {}
+        # Runs on other servers with the name of a run in `run_by_task`: of an earlier owner, or of
+        # another job with the same id.
+        self._other_runs_by_task: dict[str, list[Run]] = {}
         self.queue = WorkQueue()
         self.speeds = Speeds()
         self._effects = effects
@@ -197,9 +199,6 @@
             return
         work.late = now + work.shape.estimate_s > work.target_at
         work.resumed = resumed
-        if not self._displace_older(work, now):
-            return
-        self.work_by_key[work.key] = work
         silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
         settled_at = max(self._settled_at, now)
         work.safe_at = now + self._longest_lease_s() - silent_s if resumed else settled_at
@@ -209,8 +208,15 @@
             work.handover_until = now + HANDOVER_REPORT_S
         else:
             work.handover_until = now if resumed else settled_at
+        if not self._displace_older(work, now):
+            return
+        self.work_by_key[work.key] = work
+        blocked = self._history.find_blocked(work.job_id, now)
+        if blocked is not None:
+            work.safe_at = max(work.safe_at, blocked.safe_at)
+            work.other_servers = work.other_servers or blocked.other_servers
         work.ever_started = resumed or self._history.has_started(work.job_id, work.identity)
-        may_run_already = resumed or now < self._settled_at
+        may_run_already = resumed or now < self._settled_at or blocked is not None
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), may_run_already)
         if any(
@@ -276,12 +282,12 @@
             task.next_run = max(task.next_run, unclaimed.end.number + 1)
             if self._claim_end(work, task, unclaimed):
                 return
+        own_run = self._find_adoptable_run(work, task)
         run = self.run_by_task.get(name)
-        if run is not None:
-            if self._may_adopt(run, work, task):
-                self._adopt_run(run, work, task)
-            else:
-                self._await_run(run, work, task)
+        if own_run is not None:
+            self._adopt_run(own_run, work, task)
+        elif run is not None:
+            self._await_run(run, work, task)
         elif may_run_already:
             task.state = TaskState.BLOCKED
             task.blocked_on = placed_on
@@ -302,6 +308,11 @@
         self._effects.report_done(work, task, end.number, unclaimed.server_id)
         return True
 
+    def _find_adoptable_run(self, work: Work, task: Task) -> Run | None:
+        """Return the known run that a task may adopt, or None."""
+        runs = self._runs_of(work.task_name(task.index))
+        return next((run for run in runs if self._may_adopt(run, work, task)), None)
+
     @staticmethod
     def _may_adopt(run: Run, work: Work, task: Task) -> bool:
         return (
@@ -315,8 +326,8 @@
         task.next_run = max(task.next_run, run.number + 1)
         task.earlier_run = run
         task.state = TaskState.BLOCKED
-        told_server, told_number = task.last_run
-        task.blocked_on = told_server if told_number > run.number else run.server_id
+        last_server, last_number = task.last_run
+        task.blocked_on = last_server if last_number > run.number else run.server_id
         self._blocked.add(work)
         if not run.identity:
             # It uses the resources of its own task, of which no more than the name is known.
@@ -335,9 +346,15 @@
             elif other.holder != work.holder:
                 # The tasks of the two jobs have the same names at the servers. If this one comes
                 # from an earlier owner, it may be the one that runs.
-                later = other if work.resumed and not other.ever_started else work
-                self._refuse_namesake(later, other if later is work else work, now)
-                if later is work:
+                if work.resumed and not other.ever_started:
+                    refused, kept = other, work
+                else:
+                    refused, kept = work, other
+                self._refuse_namesake(refused, kept, now)
+                if refused is work:
+                    if work.resumed:
+                        self._history.note_blocked(work)
+                        self._block_queued_tasks(kept, work)
                     return False
                 continue
             self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
@@ -346,13 +363,28 @@
             self._drop_work(other, now, logs_ends=True)
         return True
 
-    def _refuse_namesake(self, work: Work, other: Work, now: float) -> None:
-        """Refuse a work item, or abandon it if it has started, as another job has its id."""
+    def _block_queued_tasks(self, work: Work, other: Work) -> None:
+        """Let queued tasks wait while runs of another job with their names may exist elsewhere."""
+        work.safe_at = max(work.safe_at, other.safe_at)
+        work.other_servers = work.other_servers or other.other_servers
+        for task in work.queued_tasks():
+            task.state = TaskState.BLOCKED
+            task.blocked_on = ""
+            self._blocked.add(work)
+        self.queue.remove(work)
+
+    def _refuse_namesake(self, work: Work, kept: Work, now: float) -> None:
+        """Refuse a work item, or abandon it if it has started, as another job has its id.
+
+        :param work: the work item.
+        :param kept: the work item of the other job.
+        :param now: monotonic time, in seconds.
+        """
         if self._history.has_started(work.job_id, work.identity):
             self._effects.abandon(work)
             self._forget_work(work)
         else:
-            retry_after_s = admission.retry_after_s(other.target_at - now)
+            retry_after_s = admission.retry_after_s(kept.target_at - now)
             self.refuse(work, admission.ID_IN_USE, retry_after_s, {})
 
     def _resubmit(
@@ -364,27 +396,27 @@
         """
         work.deadline_at = max(work.deadline_at, again.deadline_at)
         self._report_done_again(work)
-        for index, told in again.task_by_index.items():
+        for index, reported in again.task_by_index.items():
             task = work.task_by_index.get(index)
             if task is None or task.state not in (TaskState.QUEUED, TaskState.BLOCKED):
                 continue
             if not task.blocked_on:
                 task.blocked_on = placed_by_index.get(index, "")
-            if told.next_run > task.last_run[1] + 1:
-                task.last_run = told.last_run
-                task.next_run = max(task.next_run, told.next_run)
-                self._claim_told_run(work, task)
+            if reported.next_run > task.last_run[1] + 1:
+                task.last_run = reported.last_run
+                task.next_run = max(task.next_run, reported.next_run)
+                self._claim_last_run(work, task)
         if not work.queued_tasks():
             self.queue.remove(work)
         if work.is_done():
             self._finish(work, now)
 
-    def _claim_told_run(self, work: Work, task: Task) -> None:
-        """Claim the run that the holder has named, if a server has reported it or its end."""
+    def _claim_last_run(self, work: Work, task: Task) -> None:
+        """Claim the last run that the holder knows of, if a server has reported it or its end."""
         name = work.task_name(task.index)
-        run = self.run_by_task.get(name)
+        run = self._find_adoptable_run(work, task)
         unclaimed = self._history.find_unclaimed_end(name)
-        if run is not None and self._may_adopt(run, work, task):
+        if run is not None:
             self._adopt_run(run, work, task)
         elif unclaimed is not None:
             self._claim_end(work, task, unclaimed)
@@ -409,6 +441,8 @@
 
     def _forget_work(self, work: Work) -> None:
         self.work_by_key.pop(work.key, None)
+        if work in self._blocked:
+            self._history.note_blocked(work)
         reserved = self._reserved_by_work.pop(work.key, None)
         if reserved is not None:
             reserved.is_reserved = False
@@ -752,7 +786,7 @@
             listed = listed_by_task.get(run.task_name)
             self._reconcile_run(run, listed, report.clock_ms, sent_at, now)
         for listed in report.runs:
-            known = self.run_by_task.get(listed.task)
+            known = server.run_by_task.get(listed.task)
             if known is not None and known.work is None and listed.number > known.number:
                 # Another owner knew that the earlier run was over when it ordered this one.
                 self._forget_run(known, RunOver.NOT_LISTED)
@@ -928,7 +962,7 @@
             task_name=task_name,
             number=number,
             server_id=server.listing.server_id,
-            shape=TaskShape(0),
+            shape=UNKNOWN_SHAPE,
             work=None,
             index=0,
             state=RunState.RUNNING,
@@ -937,7 +971,13 @@
             orphan_until=now + ORPHAN_GRACE_S,
         )
         self._history.note_started(job_id_of(task_name), "", now)
-        self.run_by_task[task_name] = run
+        known = self.run_by_task.get(task_name)
+        if known is not None:
+            self._other_runs_by_task.setdefault(task_name, []).append(run)
+            if known.work is None and known.number < number:
+                self._make_current(run)
+        else:
+            self.run_by_task[task_name] = run
         server.add_run(run)
         # An earlier owner may have renewed the lease of the run just before this report.
         server.lease_ends_at = max(server.lease_ends_at, now + self._longest_lease_s())
@@ -966,6 +1006,7 @@
         task.last_run = (run.server_id, run.number)
         work.ever_started = True
         run.work, run.index, run.orphan_until = work, task.index, 0.0
+        self._make_current(run)
         run.released_work = None
         run.identity = work.identity
         server = self.server_by_id[run.server_id]
@@ -982,7 +1023,7 @@
         )
 
     def _handle_end(self, server: ServerState, end: RunEnd, now: float) -> None:
-        run = self.run_by_task.get(end.task)
+        run = server.run_by_task.get(end.task) or self.run_by_task.get(end.task)
         identity = run.identity if run is not None else ""
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             self._crash_log.clear(end.task)
@@ -1072,17 +1113,42 @@
 
     # Runs
 
+    def _runs_of(self, task_name: str) -> list[Run]:
+        """Return the known runs with the name of a task, on all servers."""
+        run = self.run_by_task.get(task_name)
+        return [run, *self._other_runs_by_task.get(task_name, ())] if run is not None else []
+
+    def _make_current(self, run: Run) -> None:
+        """Let a known run take the place of the one that is found by the name of the task."""
+        current = self.run_by_task[run.task_name]
+        if current is not run:
+            others = self._other_runs_by_task[run.task_name]
+            others[others.index(run)] = current
+            self.run_by_task[run.task_name] = run
+
     def _is_known(self, run: Run) -> bool:
-        return self.run_by_task.get(run.task_name) is run
+        return run in self._runs_of(run.task_name)
 
     def _forget_run(self, run: Run, over: RunOver) -> None:
         run.over = over
-        if self._is_known(run):
-            del self.run_by_task[run.task_name]
+        self._remove_from_index(run)
         server = self.server_by_id.get(run.server_id)
         if server is not None:
             server.remove_run(run)
 
+    def _remove_from_index(self, run: Run) -> None:
+        if not self._is_known(run):
+            return
+        others = self._other_runs_by_task.get(run.task_name, [])
+        if not others:
+            del self.run_by_task[run.task_name]
+            return
+        if self.run_by_task[run.task_name] is run:
+            self._make_current(max(others, key=lambda other: other.number))
+        others.remove(run)
+        if not others:
+            del self._other_runs_by_task[run.task_name]
+
     def _requeue(self, run: Run, now: float) -> None:
         """Requeue the task of a run that has certainly ended, or fail its work item."""
         work = run.work
@@ -1094,6 +1160,10 @@
             self._effects.report_failed(work, task, run.number, run.server_id)
             self._drop_work(work, now)
             return
+        other = self.run_by_task.get(run.task_name)
+        if other is not None:
+            self._await_run(other, work, task)
+            return
         task.state = TaskState.QUEUED
         task.after = run.over or RunOver.NONE_KNOWN
         self.queue.add(work)
@@ -1116,8 +1186,9 @@
         if self._crash_log.revision != self._crash_log_revision:
             # Another owner or process has reported a crash.
             self._give_up_guilty(now)
-        for run in list(self.run_by_task.values()):
-            self._check_run(run, now)
+        for task_name in list(self.run_by_task):
+            for run in self._runs_of(task_name):
+                self._check_run(run, now)
         self._unblock_tasks(now)
         self._review.review_blocked(list(self._blocked), now)
         self._review.review(self.queue, now)
