Keep withdrawn and cleared crashes from coming back

A task that has crashed no server could be tried alone again, or be given up, and its client got a failed job. A crash that turned out to be none was withdrawn, and a normal end cleared a task, but both only removed entries: survivors were announced once, clears never. A process whose link was down kept the crashes and sent them when the link opened, and they were taken for new ones and passed on.

Withdrawals and clears are now retractions that live as long as crashes, are announced, sent when a link opens, and passed on once. A crash counts only if it is later than the retraction of its lifetime or task, so that a later crash of the same lifetime is not lost. Times are compared by the time left to live; it grows by the time in transit, so an owner's retraction covers at least all crashes known to its process.

Before, in a script on the log:

withdrawn, then suspect: True cleared, then guilty: True

The tests do the same with two processes, and pass now. They could not run before, as there was nothing to exchange.

--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -31,7 +31,7 @@
 from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, shard_of
 from redwingport_dispatch.peers import Mesh
 from redwingport_dispatch.routes import RouteTable
-from redwingport_dispatch.scheduling.crashes import Crash, CrashLog, Lifetime
+from redwingport_dispatch.scheduling.crashes import Crash, CrashLog, Lifetime, Retraction
 from redwingport_dispatch.scheduling.scheduler import ORPHAN_GRACE_S
 from redwingport_dispatch.settings import Settings
 from redwingport_dispatch.watchers import (
@@ -139,7 +139,7 @@
         self._timeout_changed = anyio.Event()
         self._sequence = itertools.count(1)
         self._owner_by_shard: dict[int, Owner] = {}
-        self._crash_log = CrashLog(self._announce_crashes, self._announce_survivor)
+        self._crash_log = CrashLog(self._announce_crashes, self._announce_retraction)
         self._drain_started = anyio.Event()
         self.holder = Holder(
             self.incarnation,
@@ -566,18 +566,18 @@
     def _handle_link(self, incarnation: str) -> None:
         """Resubmit the work items of an owner, as a broken link may have lost messages."""
         self.holder.resubmit(incarnation)
-        crashes = self._crash_log.all_crashes()
-        if crashes:
-            self._mesh.send(incarnation, _encode_crashes(crashes))
+        crashes, retractions = self._crash_log.all_crashes(), self._crash_log.all_retractions()
+        if crashes or retractions:
+            self._mesh.send(incarnation, _encode_crashes(crashes, retractions))
 
     # Crashes of servers
 
     def _announce_crashes(self, crashes: Sequence[Crash]) -> None:
         self.metrics.crashed_runs.inc(len(crashes))
-        self._send_to_peers(_encode_crashes(crashes))
+        self._send_to_peers(_encode_crashes(crashes, []))
 
-    def _announce_survivor(self, lifetime: Lifetime) -> None:
-        self._send_to_peers(ServerCrashes([], [(lifetime.server_id, lifetime.born_ms)]))
+    def _announce_retraction(self, retraction: Retraction) -> None:
+        self._send_to_peers(_encode_crashes([], [retraction]))
 
     def _handle_crashes(self, sender: str, message: ServerCrashes) -> None:
         """Record the crashes that a peer reports, and pass on those that are new here.
@@ -585,18 +585,21 @@
         Processes that are not hubs have no links to each other.
         """
         now = current_time()
+        retractions = [
+            *(
+                Retraction(Lifetime(server_id, born_ms), now + left_ms / 1000)
+                for server_id, born_ms, left_ms in message.survivors
+            ),
+            *(Retraction(task, now + left_ms / 1000) for task, left_ms in message.cleared),
+        ]
+        # First, as a peer also sends crashes that were observed after them.
+        new_retractions = [r for r in retractions if self._crash_log.retract(r)]
         new = self._crash_log.merge(
             Crash(task, Lifetime(server_id, born_ms), alone, now + left_ms / 1000)
             for task, server_id, born_ms, alone, left_ms in message.crashes
         )
-        survivors = [
-            (server_id, born_ms)
-            for server_id, born_ms in message.survivors
-            if self._crash_log.withdraw(Lifetime(server_id, born_ms))
-        ]
-        if new or survivors:
-            crashes = _encode_crashes(new).crashes
-            self._send_to_peers(ServerCrashes(crashes, survivors), except_for=sender)
+        if new or new_retractions:
+            self._send_to_peers(_encode_crashes(new, new_retractions), except_for=sender)
 
     def _send_to_peers(self, message: Frame, except_for: str = "") -> None:
         for incarnation in self._reachable_peers - {except_for}:
@@ -613,8 +616,12 @@
             owner.update_servers(self._listing_of_shard(shard, listing_by_id), fresh)
 
 
-def _encode_crashes(crashes: Sequence[Crash]) -> ServerCrashes:
+def _encode_crashes(crashes: Sequence[Crash], retractions: Sequence[Retraction]) -> ServerCrashes:
     now = current_time()
+
+    def left_ms(expires_at: float) -> int:
+        return max(0, round((expires_at - now) * 1000))
+
     return ServerCrashes(
         [
             (
@@ -622,9 +629,18 @@
                 crash.lifetime.server_id,
                 crash.lifetime.born_ms,
                 crash.alone,
-                max(0, round((crash.expires_at - now) * 1000)),
+                left_ms(crash.expires_at),
             )
             for crash in crashes
         ],
-        [],
+        [
+            (r.subject.server_id, r.subject.born_ms, left_ms(r.expires_at))
+            for r in retractions
+            if isinstance(r.subject, Lifetime)
+        ],
+        [
+            (r.subject, left_ms(r.expires_at))
+            for r in retractions
+            if not isinstance(r.subject, Lifetime)
+        ],
     )
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/crashes.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/crashes.py
@@ -43,6 +43,20 @@
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Retraction:
+    """Represent the end of the evidence from crashes before some time.
+
+    :param subject: a lifetime that has survived, or the name of a task of which a run has ended
+        normally.
+    :param expires_at: monotonic time at which crashes of that time would expire, in seconds;
+        later crashes count.
+    """
+
+    subject: Lifetime | str
+    expires_at: float
+
+
 @dataclass(slots=True)
 class _JobRecord:
     """Hold the crashes under the tasks of one job.
@@ -62,20 +76,23 @@
     the owner may change with each crash. A crash is identified by task and lifetime of the server,
     so that one that several processes report counts once.
 
+    Retractions outlive what they remove, as a process without a link may still hold it.
+
     :param on_crashes: called with crashes that this process has observed.
-    :param on_survived: called with a lifetime that this process has found to have survived.
+    :param on_retracted: called with a retraction of crashes by this process.
     """
 
     def __init__(
         self,
         on_crashes: Callable[[Sequence[Crash]], None] | None = None,
-        on_survived: Callable[[Lifetime], None] | None = None,
+        on_retracted: Callable[[Retraction], None] | None = None,
     ) -> None:
         self.revision = 0
         self._on_crashes = on_crashes
-        self._on_survived = on_survived
+        self._on_retracted = on_retracted
         self._record_by_job: dict[str, _JobRecord] = {}
         self._task_count = 0
+        self._retraction_by_subject: dict[Lifetime | str, Retraction] = {}
 
     def observe(self, crashes: Iterable[Crash]) -> list[Crash]:
         """Record crashes that an owner of this process has observed; return the new ones."""
@@ -88,6 +105,8 @@
         """Record crashes; return those that were not known."""
         new = []
         for crash in crashes:
+            if self._is_retracted(crash):
+                continue
             record = self._record_by_job.setdefault(job_id_of(crash.task_name), _JobRecord())
             if crash.task_name not in record.by_task:
                 self._task_count += 1
@@ -102,29 +121,57 @@
         self.revision += bool(new)
         return new
 
-    def withdraw(self, lifetime: Lifetime) -> bool:
-        """Remove the crashes of a lifetime that has not ended; return whether there were any."""
-        found = False
-        for job_id, record in list(self._record_by_job.items()):
-            for task_name, by_lifetime in list(record.by_task.items()):
-                if by_lifetime.pop(lifetime, None) is not None:
-                    found = True
-                    if not by_lifetime:
-                        self._remove(job_id, record, task_name)
-        return found
+    def retract(self, retraction: Retraction) -> bool:
+        """Remove crashes, and ignore them if they are reported again.
+
+        :returns: whether the retraction was not known or has removed a crash.
+        """
+        subject = retraction.subject
+        known = self._retraction_by_subject.get(subject)
+        if known is None or retraction.expires_at > known.expires_at:
+            self._retraction_by_subject[subject] = retraction
+        if len(self._retraction_by_subject) > MAX_TASKS:
+            del self._retraction_by_subject[next(iter(self._retraction_by_subject))]
+        return self._remove_retracted(subject) or known is None
 
-    def note_survived(self, lifetime: Lifetime) -> None:
+    def note_survived(self, lifetime: Lifetime, now: float) -> None:
         """Remove the crashes of a lifetime that answers an owner of this process."""
-        if self.withdraw(lifetime) and self._on_survived is not None:
-            self._on_survived(lifetime)
+        crashes = [crash for crash in self.all_crashes() if crash.lifetime == lifetime]
+        self._retract_known(lifetime, crashes, now)
 
-    def clear(self, task_name: str) -> None:
+    def clear(self, task_name: str, now: float) -> None:
         """Remove the crashes under a task of which a run has ended normally."""
-        job_id = job_id_of(task_name)
-        record = self._record_by_job.get(job_id)
-        if record is not None and task_name in record.by_task:
-            record.cleared = True
-            self._remove(job_id, record, task_name)
+        self._retract_known(task_name, self.crashes_under(task_name), now)
+
+    def _retract_known(
+        self, subject: Lifetime | str, crashes: Sequence[Crash], now: float
+    ) -> None:
+        if not crashes:
+            return
+        # Those that a peer has reported seem later than they are, by the time in transit.
+        latest = max(crash.expires_at for crash in crashes)
+        retraction = Retraction(subject, max(latest, now + RECORD_TTL_S))
+        self.retract(retraction)
+        if self._on_retracted is not None:
+            self._on_retracted(retraction)
+
+    def _is_retracted(self, crash: Crash) -> bool:
+        subjects: tuple[Lifetime | str, ...] = (crash.lifetime, crash.task_name)
+        retractions = [self._retraction_by_subject.get(subject) for subject in subjects]
+        return any(r is not None and crash.expires_at <= r.expires_at for r in retractions)
+
+    def _remove_retracted(self, subject: Lifetime | str) -> bool:
+        found = False
+        for job_id, record in list(self._record_by_job.items()):
+            for task_name, by_lifetime in list(record.by_task.items()):
+                for lifetime, crash in list(by_lifetime.items()):
+                    if subject in (lifetime, task_name) and self._is_retracted(crash):
+                        del by_lifetime[lifetime]
+                        found = True
+                if not by_lifetime:
+                    record.cleared = record.cleared or subject == task_name
+                    self._remove(job_id, record, task_name)
+        return found
 
     def _remove(self, job_id: str, record: _JobRecord, task_name: str) -> None:
         del record.by_task[task_name]
@@ -172,8 +219,15 @@
             for crash in by_lifetime.values()
         ]
 
+    def all_retractions(self) -> list[Retraction]:
+        """Return all retractions."""
+        return list(self._retraction_by_subject.values())
+
     def prune(self, now: float) -> None:
-        """Remove expired crashes."""
+        """Remove expired crashes and retractions."""
+        for retraction in self.all_retractions():
+            if now >= retraction.expires_at:
+                del self._retraction_by_subject[retraction.subject]
         for job_id, record in list(self._record_by_job.items()):
             for task_name, by_lifetime in list(record.by_task.items()):
                 for lifetime, crash in list(by_lifetime.items()):
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -743,7 +743,7 @@
         if server.suspect or not server.acquired:
             # It may have been taken for crashed, here or by an earlier owner.
             born_ms = report.born_ms or server.born_ms
-            self._crash_log.note_survived(Lifetime(server_id, born_ms))
+            self._crash_log.note_survived(Lifetime(server_id, born_ms), now)
         server.note_contact(report.born_ms)
         for end in new_ends:
             self._handle_end(server, end, now)
@@ -985,7 +985,7 @@
         run = self.run_by_task.get(end.task)
         identity = run.identity if run is not None else ""
         if end.kind in (EndKind.DONE, EndKind.FAILED):
-            self._crash_log.clear(end.task)
+            self._crash_log.clear(end.task, now)
         self._history.note_started(job_id_of(end.task), identity, now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
+from itertools import permutations
 from unittest import mock
 
 import pytest
@@ -10,7 +11,13 @@
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import EndKind, ServerReport
-from redwingport_dispatch.scheduling.crashes import MAX_TASKS, Crash, CrashLog, Lifetime
+from redwingport_dispatch.scheduling.crashes import (
+    MAX_TASKS,
+    Crash,
+    CrashLog,
+    Lifetime,
+    Retraction,
+)
 from redwingport_dispatch.scheduling.work import Run
 
 CPU_MILLIS = 16000
@@ -416,3 +423,53 @@
     assert len(log.all_crashes()) == MAX_TASKS
     log.prune(1000.0)
     assert not log.all_crashes()
+
+
+def exchange(*logs: CrashLog) -> None:
+    """Let processes send what they know over links that have just opened."""
+    for sender, receiver in permutations(logs, 2):
+        for retraction in sender.all_retractions():
+            receiver.retract(retraction)
+        receiver.merge(sender.all_crashes())
+
+
+# Guards against crashes that come back: a peer without a link reported them again.
+def test_crash_of_a_server_that_answers_is_not_taken_from_a_peer_again() -> None:
+    here, peer = CrashLog(), CrashLog()
+    for log in (here, peer):
+        log.merge([crash("a.0.0.0", "s0", expires_at=160.0)])
+    here.note_survived(Lifetime("s0", 1), 100.1)
+    exchange(peer, here)
+    assert not here.is_suspect("a.0.0.0")
+    assert not peer.is_suspect("a.0.0.0")
+    here.merge([crash("a.0.0.0", "s0", expires_at=161.0)])
+    assert here.is_suspect("a.0.0.0"), "a later crash of the same lifetime"
+
+
+# Guards against giving up a task for crashes of which a normal end has cleared it.
+def test_cleared_crashes_do_not_count_with_a_later_one() -> None:
+    here, peer = CrashLog(), CrashLog()
+    for log in (here, peer):
+        log.merge([crash("a.0.0.0", server, expires_at=160.0) for server in ("s0", "s1")])
+    here.clear("a.0.0.0", 101.0)
+    exchange(peer, here)
+    here.merge([crash("a.0.0.0", "s2", expires_at=162.0)])
+    assert len(here.crashes_under("a.0.0.0")) == 1
+    assert not here.is_guilty("a.0.0.0")
+    assert not peer.is_suspect("a.0.0.0")
+
+
+def test_retractions_are_announced_and_expire() -> None:
+    announced: list[Retraction] = []
+    log = CrashLog(on_retracted=announced.append)
+    log.clear("a.0.0.0", 100.0)
+    log.note_survived(Lifetime("s0", 1), 100.0)
+    assert not announced, "there was no crash"
+    log.merge([crash("a.0.0.0", "s0", expires_at=160.0), crash("b.0.0.0", "s1", expires_at=160.0)])
+    log.clear("a.0.0.0", 101.0)
+    log.note_survived(Lifetime("s1", 1), 101.0)
+    assert announced == log.all_retractions()
+    assert log.is_empty
+    assert not log.retract(announced[0]), "known, so it is not passed on again"
+    log.prune(161.0)
+    assert not log.all_retractions()
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -244,14 +244,18 @@
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class ServerCrashes:
-    """Report servers that have crashed while tasks ran there, or turned out not to have crashed.
+    """Report servers that have crashed while tasks ran there, and crashes that no longer count.
 
     :param crashes: task, id of the server, Unix time of its start in milliseconds, whether the
         task was alone there, and the time for which the crash still counts in milliseconds, of
         each crash under a task.
-    :param survivors: id of the server and Unix time of its start in milliseconds of each lifetime
-        that was reported as crashed by mistake.
+    :param survivors: id of the server, Unix time of its start in milliseconds, and the time for
+        which earlier crashes are to be ignored in milliseconds, of each lifetime that was reported
+        as crashed by mistake.
+    :param cleared: task, and the time for which earlier crashes are to be ignored in milliseconds,
+        of each task of which a run has ended normally after crashes.
     """
 
     crashes: list[tuple[str, str, Count, bool, Count]]
-    survivors: list[tuple[str, Count]]
+    survivors: list[tuple[str, Count, Count]]
+    cleared: list[tuple[str, Count]]
--- a/packages/messages/tests/test_frames.py
+++ b/packages/messages/tests/test_frames.py
@@ -36,7 +36,11 @@
         SyncAnswer([(3, "{}")], "", True),
         Forward(1, "submit", "id", "route", "", "application/json", b"\x00\xff", 12.5),
         Handover("00ff", [("id", "print", "complete", 200, "text/plain", b"x")], True),
-        ServerCrashes([("job.0.0.0", "s0", 1_700_000_000_000, True, 60_000)], [("s1", 0)]),
+        ServerCrashes(
+            [("job.0.0.0", "s0", 1_700_000_000_000, True, 60_000)],
+            [("s1", 0, 60_000)],
+            [("job.0.0.1", 60_000)],
+        ),
     ],
 )
 def test_encoded_message_is_decoded_unchanged(message: Frame) -> None:
