Release a server reserved for a task that need not run alone

A job could wait until its deadline although a server was idle. The server had been reserved for a task under which another one had crashed. When that crash was withdrawn, cleared or expired, the log was empty, so the pass over suspect tasks, the only place that released the reservation, was skipped, and the server stayed closed.

Each pass over the queue now first releases the reservations of work items that have no queued suspect task, whatever the reason.

The test failed before for each of the three reasons:

assert ['job.0.0.0'] == ['job.0.0.0', 'suspect.0.0.0']

and passes now.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -429,6 +429,7 @@
 
     def dispatch(self, now: float) -> None:
         """Start queued tasks while servers have capacity for them."""
+        self._release_unneeded_reservations()
         if not len(self.queue) or now < self._placement_paused_until:
             return
         if not self._crash_log.is_empty:
@@ -575,6 +576,17 @@
             self._reserved_by_work[work.key] = reserved
         return False
 
+    def _release_unneeded_reservations(self) -> None:
+        """Open the servers reserved for work items without a queued suspect task.
+
+        The crashes under it may have been retracted or have expired since.
+        """
+        for key, server in list(self._reserved_by_work.items()):
+            suspects = self._suspects_of(self.work_by_key[key])
+            if all(task.state is not TaskState.QUEUED for task in suspects):
+                server.is_reserved = False
+                del self._reserved_by_work[key]
+
     def _runs_alone(self, task_name: str) -> bool:
         run = self.run_by_task.get(task_name)
         return run is not None and self.server_by_id[run.server_id].exclusive_run is run
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -353,6 +353,28 @@
     assert [run.task_name for run in harness.effects.started] == ["job.0.0.0", "next.0.0.0"]
 
 
+# Guards against a server that stayed closed, and a job that waited for it in vain, after the last
+# crash under its task no longer counted.
+@pytest.mark.parametrize("change", ["survived", "cleared", "expired"])
+def test_reserved_server_is_released_when_the_crash_no_longer_counts(change: str) -> None:
+    harness = SchedulerHarness(servers=1)
+    log = harness.scheduler._crash_log
+    log.merge([crash("suspect.0.0.0", "s9")])
+    harness.submit("job", estimate_s=2.0, deadline_s=6)
+    harness.submit("suspect", deadline_s=6, target_s=6)
+    assert harness.scheduler.server_by_id["s0"].is_reserved
+    if change == "survived":
+        log.note_survived(Lifetime("s9", 1), harness.now)
+    elif change == "cleared":
+        log.clear("suspect.0.0.0", harness.now)
+    else:
+        log.prune(1000.0)
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
+    assert [run.task_name for run in harness.effects.started] == ["job.0.0.0", "suspect.0.0.0"]
+    assert not harness.scheduler.server_by_id["s0"].is_closed
+
+
 # Guards against losing the evidence with the owner: the next one tried the task again.
 def test_next_owner_gives_up_a_task_that_crashed_servers_under_the_previous_one() -> None:
     first = SchedulerHarness(servers=4)
