Drop stale evidence when a server answers an order

A task whose run had ended could be blamed when its former server crashed later, and the task that did crash it did not count as alone, so that it cost one more server before it was given up. An answered start or stop order makes a suspect server usable again, but only a report reset the runs that were there when contact was lost, and the time since which connections were refused.

An answered order now resets both. Runs whose start was not answered are kept, as the answer may come from a restarted server, and only accepted runs count when the restart is noticed.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -692,6 +692,12 @@
         server = self.server_by_id.get(server_id)
         if server is not None and server.suspect:
             server.suspect = False
+            # A restarted server may have answered, so a run whose start was not answered is kept:
+            # handle_restart adds only accepted ones.
+            server.lost_run_by_task = {
+                run.task_name: run for run in server.run_by_task.values() if not run.accepted_at
+            }
+            server.refused_since = 0.0
             self._effects.log_decision("server-answered", server=server_id)
             self._request_dispatch(now)
 
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -375,6 +375,29 @@
     assert not harness.scheduler.server_by_id["s0"].is_closed
 
 
+# Guards against blaming a task that had ended before its server answered an order, and against
+# counting the one that crashed the server later as not alone.
+def test_run_that_was_over_before_the_server_answered_is_not_blamed_for_a_later_crash() -> None:
+    harness = SchedulerHarness(servers=1)
+    work = harness.submit("ended", estimate_s=2.0, deadline_s=6)
+    harness.submit("deadly", estimate_s=2.0, deadline_s=6)
+    harness.accept_all()
+    ended, deadly = harness.effects.started
+    server = harness.scheduler.server_by_id["s0"]
+    server.lease_ends_at = harness.now + 6
+    harness.scheduler.handle_unreachable("s0", OrderFailure.REFUSED, harness.now)
+    harness.scheduler.cancel(work.key, harness.now)
+    harness.scheduler.handle_stopped(ended, harness.now)
+    harness.advance(0.2)
+    assert not harness.scheduler._is_known(ended)
+    for _ in range(4):
+        harness.scheduler.handle_unreachable("s0", OrderFailure.REFUSED, harness.now)
+        harness.now += 0.05
+    log = harness.scheduler._crash_log
+    assert not log.is_suspect("ended.0.0.0")
+    assert [crash.alone for crash in log.crashes_under(deadly.task_name)] == [True]
+
+
 # Guards against losing the evidence with the owner: the next one tried the task again.
 def test_next_owner_gives_up_a_task_that_crashed_servers_under_the_previous_one() -> None:
     first = SchedulerHarness(servers=4)
