Claim no number of failed runs in the reason of a failed job

The log line job-ended said "task N failed M times" of each failed job, also of one that was given up because servers crashed under its task, none of whose runs may have failed. The owner reports both cases by the same event.

The reason now holds in both; the line task-given-up of the owner tells them apart. The test failed before, as the reason was "task 0 failed 3 times".

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -439,7 +439,7 @@
                     task.placed_on = server_id or task.placed_on
                 self._finish_work(work)
             elif not task.done:
-                reason = f"task {index} failed {work.job.route.attempts} times"
+                reason = f"task {index} failed and is not retried"
                 self._end(work.job, JobEnd(Outcome.FAILED, reason))
 
     async def watch(self) -> None:
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -202,6 +202,15 @@
     assert seen[-1] == CancelWork(1)
 
 
+# Guards against logging failed runs of a task that was given up because it crashes servers.
+async def test_reason_of_a_failed_job_claims_no_number_of_failed_runs() -> None:
+    def script(holder: Holder, links: Links) -> None:
+        holder.handle_notification("o", TaskNews([(1, 0, "failed", 2, "s")]))
+
+    end = await run_job(make_job(), script)
+    assert (end.outcome, end.reason) == (Outcome.FAILED, "task 0 failed and is not retried")
+
+
 async def test_response_target_is_stretched_critical_path_plus_slack() -> None:
     request = make_job(steps=2).request
     assert response_target_s(ROUTE, request) == pytest.approx(1.6 * 0.2 + 0.06)
