--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -463,6 +463,7 @@
 
     def dispatch(self, now: float) -> None:
         """Start queued tasks while servers have capacity for them."""
+        self._release_unneeded_reservations()
         if not len(self.queue) or now < self._placement_paused_until:
             return
         if not self._crash_log.is_empty:
@@ -609,6 +610,17 @@
             self._reserved_by_work[work.key] = reserved
         return False
 
+    def _release_unneeded_reservations(self) -> None:
+        """Open the servers reserved for work items without a queued suspect task.
+
+        The crashes under it may have been retracted or have expired since.
+        """
+        for key, server in list(self._reserved_by_work.items()):
+            suspects = self._suspects_of(self.work_by_key[key])
+            if all(task.state is not TaskState.QUEUED for task in suspects):
+                server.is_reserved = False
+                del self._reserved_by_work[key]
+
     def _runs_alone(self, task_name: str) -> bool:
         run = self.run_by_task.get(task_name)
         return run is not None and self.server_by_id[run.server_id].exclusive_run is run
@@ -714,6 +726,12 @@
         server = self.server_by_id.get(server_id)
         if server is not None and server.suspect:
             server.suspect = False
+            # A restarted server may have answered, so a run whose start was not answered is kept:
+            # handle_restart adds only accepted ones.
+            server.lost_run_by_task = {
+                run.task_name: run for run in server.run_by_task.values() if not run.accepted_at
+            }
+            server.refused_since = 0.0
             self._effects.log_decision("server-answered", server=server_id)
             self._request_dispatch(now)
 
@@ -777,7 +795,7 @@
         if server.suspect or not server.acquired:
             # It may have been taken for crashed, here or by an earlier owner.
             born_ms = report.born_ms or server.born_ms
-            self._crash_log.note_survived(Lifetime(server_id, born_ms))
+            self._crash_log.note_survived(Lifetime(server_id, born_ms), now)
         server.note_contact(report.born_ms)
         for end in new_ends:
             self._handle_end(server, end, now)
@@ -1026,7 +1044,7 @@
         run = server.run_by_task.get(end.task) or self.run_by_task.get(end.task)
         identity = run.identity if run is not None else ""
         if end.kind in (EndKind.DONE, EndKind.FAILED):
-            self._crash_log.clear(end.task)
+            self._crash_log.clear(end.task, now)
         self._history.note_started(job_id_of(end.task), identity, now)
         if run is None or run.number != end.number or run.server_id != server.listing.server_id:
             self._log_end(server, end)
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
+from itertools import permutations
 from unittest import mock
 
 import pytest
@@ -10,7 +11,13 @@
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import EndKind, ServerReport
-from redwingport_dispatch.scheduling.crashes import MAX_TASKS, Crash, CrashLog, Lifetime
+from redwingport_dispatch.scheduling.crashes import (
+    MAX_TASKS,
+    Crash,
+    CrashLog,
+    Lifetime,
+    Retraction,
+)
 from redwingport_dispatch.scheduling.work import Run
 
 CPU_MILLIS = 16000
@@ -346,6 +353,51 @@
     assert [run.task_name for run in harness.effects.started] == ["job.0.0.0", "next.0.0.0"]
 
 
+# Guards against a server that stayed closed, and a job that waited for it in vain, after the last
+# crash under its task no longer counted.
+@pytest.mark.parametrize("change", ["survived", "cleared", "expired"])
+def test_reserved_server_is_released_when_the_crash_no_longer_counts(change: str) -> None:
+    harness = SchedulerHarness(servers=1)
+    log = harness.scheduler._crash_log
+    log.merge([crash("suspect.0.0.0", "s9")])
+    harness.submit("job", estimate_s=2.0, deadline_s=6)
+    harness.submit("suspect", deadline_s=6, target_s=6)
+    assert harness.scheduler.server_by_id["s0"].is_reserved
+    if change == "survived":
+        log.note_survived(Lifetime("s9", 1), harness.now)
+    elif change == "cleared":
+        log.clear("suspect.0.0.0", harness.now)
+    else:
+        log.prune(1000.0)
+    harness.accept_all()
+    harness.end(harness.effects.started[0])
+    assert [run.task_name for run in harness.effects.started] == ["job.0.0.0", "suspect.0.0.0"]
+    assert not harness.scheduler.server_by_id["s0"].is_closed
+
+
+# Guards against blaming a task that had ended before its server answered an order, and against
+# counting the one that crashed the server later as not alone.
+def test_run_that_was_over_before_the_server_answered_is_not_blamed_for_a_later_crash() -> None:
+    harness = SchedulerHarness(servers=1)
+    work = harness.submit("ended", estimate_s=2.0, deadline_s=6)
+    harness.submit("deadly", estimate_s=2.0, deadline_s=6)
+    harness.accept_all()
+    ended, deadly = harness.effects.started
+    server = harness.scheduler.server_by_id["s0"]
+    server.lease_ends_at = harness.now + 6
+    harness.scheduler.handle_unreachable("s0", OrderFailure.REFUSED, harness.now)
+    harness.scheduler.cancel(work.key, harness.now)
+    harness.scheduler.handle_stopped(ended, harness.now)
+    harness.advance(0.2)
+    assert not harness.scheduler._is_known(ended)
+    for _ in range(4):
+        harness.scheduler.handle_unreachable("s0", OrderFailure.REFUSED, harness.now)
+        harness.now += 0.05
+    log = harness.scheduler._crash_log
+    assert not log.is_suspect("ended.0.0.0")
+    assert [crash.alone for crash in log.crashes_under(deadly.task_name)] == [True]
+
+
 # Guards against losing the evidence with the owner: the next one tried the task again.
 def test_next_owner_gives_up_a_task_that_crashed_servers_under_the_previous_one() -> None:
     first = SchedulerHarness(servers=4)
@@ -416,3 +468,53 @@
     assert len(log.all_crashes()) == MAX_TASKS
     log.prune(1000.0)
     assert not log.all_crashes()
+
+
+def exchange(*logs: CrashLog) -> None:
+    """Let processes send what they know over links that have just opened."""
+    for sender, receiver in permutations(logs, 2):
+        for retraction in sender.all_retractions():
+            receiver.retract(retraction)
+        receiver.merge(sender.all_crashes())
+
+
+# Guards against crashes that come back: a peer without a link reported them again.
+def test_crash_of_a_server_that_answers_is_not_taken_from_a_peer_again() -> None:
+    here, peer = CrashLog(), CrashLog()
+    for log in (here, peer):
+        log.merge([crash("a.0.0.0", "s0", expires_at=160.0)])
+    here.note_survived(Lifetime("s0", 1), 100.1)
+    exchange(peer, here)
+    assert not here.is_suspect("a.0.0.0")
+    assert not peer.is_suspect("a.0.0.0")
+    here.merge([crash("a.0.0.0", "s0", expires_at=161.0)])
+    assert here.is_suspect("a.0.0.0"), "a later crash of the same lifetime"
+
+
+# Guards against giving up a task for crashes of which a normal end has cleared it.
+def test_cleared_crashes_do_not_count_with_a_later_one() -> None:
+    here, peer = CrashLog(), CrashLog()
+    for log in (here, peer):
+        log.merge([crash("a.0.0.0", server, expires_at=160.0) for server in ("s0", "s1")])
+    here.clear("a.0.0.0", 101.0)
+    exchange(peer, here)
+    here.merge([crash("a.0.0.0", "s2", expires_at=162.0)])
+    assert len(here.crashes_under("a.0.0.0")) == 1
+    assert not here.is_guilty("a.0.0.0")
+    assert not peer.is_suspect("a.0.0.0")
+
+
+def test_retractions_are_announced_and_expire() -> None:
+    announced: list[Retraction] = []
+    log = CrashLog(on_retracted=announced.append)
+    log.clear("a.0.0.0", 100.0)
+    log.note_survived(Lifetime("s0", 1), 100.0)
+    assert not announced, "there was no crash"
+    log.merge([crash("a.0.0.0", "s0", expires_at=160.0), crash("b.0.0.0", "s1", expires_at=160.0)])
+    log.clear("a.0.0.0", 101.0)
+    log.note_survived(Lifetime("s1", 1), 101.0)
+    assert announced == log.all_retractions()
+    assert log.is_empty
+    assert not log.retract(announced[0]), "known, so it is not passed on again"
+    log.prune(161.0)
+    assert not log.all_retractions()
