Keep a server that is no longer listed until its runs are over

The entry of an executor lapsed while it was cut off from the store; the owner still reached it, and 2.5 s later started its task on another executor.

Cause: that an entry is gone was taken as evidence that the runs of its server are over. The grace period ended with Owner._drop_server, and Scheduler.remove_server forgot the runs and queued their tasks, without a stop order and without waiting for the lease. The same held for a server whose address changes, and there without any grace period.

Change: a server that is no longer listed gets no new task, as before, but is removed only once it has no runs: those on a server that answers go on, and those on one that does not are over with its last lease. Scheduler.remove_server rejects a server with runs. A server with a new address keeps its runs; a session is opened there, and its first report tells which of them it has. Start orders that were in flight are stopped like others without an answer. A server whose grace period is over no longer keeps work items waiting that fit nowhere else.

Why it works: nothing but a report, a confirmed stop or the end of the last lease now ends a run at the owner.

Two tests in test_crashes.py removed a server while its runs had a lease, which the owner no longer does; they now wait for its end first and ask for the same evidence as before.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -287,6 +287,12 @@
     LogEvent(
         "server-dropped", _O, "a server is no longer used", ("server", "reason", *OWNER_FIELDS)
     ),
+    LogEvent(
+        "server-moved",
+        _O,
+        "a server has another address, at which it is called from now on",
+        ("server", "address", *OWNER_FIELDS),
+    ),
     LogEvent(
         "server-lost",
         _O,
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -32,8 +32,8 @@
 TICK_S = 0.05
 # A pass over the queue that took less time is followed by no pause.
 MIN_PAUSE_S = 0.0005
-# A server that is no longer listed is kept this long, unless it is suspect and has no runs: its
-# entry expires while the store is down, and reappears within two seconds of its recovery.
+# A server that is no longer listed is kept at least this long, unless it is suspect and has no
+# runs: its entry expires while the store is down, and is back within two seconds of its recovery.
 UNLISTED_GRACE_S = 2.5
 
 Notification = TaskNews | WorkRefused | WorkAbandoned
@@ -125,12 +125,12 @@
         now = current_time()
         for server_id, listing in listing_by_id.items():
             known = self.scheduler.server_by_id.get(server_id)
-            if known is not None and known.listing.address != listing.address:
-                self._drop_server(server_id, "address changed")
-                known = None
+            has_moved = known is not None and known.listing.address != listing.address
             if known is not None and known.listing.draining != listing.draining:
                 self.log_decision("server-state", server=server_id, draining=listing.draining)
             server = self.scheduler.set_server(listing)
+            if has_moved:
+                self._reopen_session(server_id)
             if server_id not in self._session_by_server:
                 self._open_session(server_id)
                 self.log_decision(
@@ -166,12 +166,23 @@
             with anyio.CancelScope(shield=True):
                 await session.aclose()
 
-    def _drop_server(self, server_id: str, reason: str) -> None:
-        self.log_decision("server-dropped", server=server_id, reason=reason)
+    def _reopen_session(self, server_id: str) -> None:
+        """Call a server at its new address; the same lifetime may answer there, with its runs."""
+        address = self.scheduler.server_by_id[server_id].listing.address
+        self.log_decision("server-moved", server=server_id, address=address)
+        self._close_session(server_id)
+        self.scheduler.handle_moved(server_id, current_time())
+        self._open_session(server_id)
+
+    def _close_session(self, server_id: str) -> None:
         self._session_by_server.pop(server_id, None)
         scope = self._cancel_scope_by_server.pop(server_id, None)
         if scope is not None:
             scope.cancel()
+
+    def _drop_server(self, server_id: str, reason: str) -> None:
+        self.log_decision("server-dropped", server=server_id, reason=reason)
+        self._close_session(server_id)
         self.scheduler.remove_server(server_id, current_time())
 
     # Messages from holders
@@ -350,8 +361,7 @@
             await anyio.sleep(TICK_S)
             now = current_time()
             for server_id, server in list(self.scheduler.server_by_id.items()):
-                idle = not server.run_by_task
-                if server.gone_at and (now >= server.gone_at or server.suspect and idle):
+                if server.is_removable(now):
                     self._drop_server(server_id, "no longer listed")
             self.scheduler.tick(now)
             self._metrics.queued_works.labels(self._shard).set(len(self.scheduler.queue))
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/review.py
@@ -125,7 +125,8 @@
             return self._refuse_without_server(work)
         if not forecast.can_run(work.shape):
             # A server that is unusable now may run the task later.
-            if any(server.could_run(work.shape) for server in self._servers_of(work)):
+            others = [server for server in self._servers_of(work) if not server.is_gone(now)]
+            if any(server.could_run(work.shape) for server in others):
                 return False
             inputs = {"cpu_millis": work.shape.cpu_millis, "usable_servers": forecast.server_count}
             retry_after_s = admission.MAX_RETRY_AFTER_S
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -123,22 +123,38 @@
         return server
 
     def remove_server(self, server_id: str, now: float) -> None:
-        """Remove a server, and requeue the tasks that ran there.
+        """Remove a server without runs.
 
-        Does not wait for the end of the server's leases and sends no stop orders.
+        That a server is no longer listed says nothing about its runs: it may only be out of touch
+        with the platform.
+
+        :raises ValueError: when the server may still have runs.
         """
         server = self.server_by_id.get(server_id)
         if server is None:
             return
+        if server.run_by_task:
+            raise ValueError(f"server {server_id} may still have {len(server.run_by_task)} runs")
         if server.suspect:
             self._note_crash(server, "removed", now)
         del self.server_by_id[server_id]
         self.speeds.forget(server_id)
-        for run in list(server.run_by_task.values()):
-            self._forget_run(run, RunOver.SERVER_REMOVED)
-            self._requeue(run, now)
         self._request_dispatch(now)
 
+    def handle_moved(self, server_id: str, now: float) -> None:
+        """Handle a new address of a server, whose open calls have been abandoned.
+
+        Nothing is known of its runs until it reports from there.
+        """
+        server = self.server_by_id.get(server_id)
+        if server is None:
+            return
+        server.acquired = False
+        server.note_contact_lost()
+        for run in list(server.run_by_task.values()):
+            if run.state is RunState.STARTING:
+                self.handle_not_started(run, OrderFailure.NO_ANSWER, now)
+
     def usable_servers(self, now: float) -> list[ServerState]:
         """Return the servers that may get a task now."""
         return [server for server in self.server_by_id.values() if self._is_usable(server, now)]
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -31,8 +31,8 @@
         renewal failed.
     :param full: whether the server has rejected a task since its last report, for lack of
         capacity or as unhealthy.
-    :param gone_at: monotonic time by which a server that the platform no longer lists is removed,
-        in seconds; until then it gets no new task. 0 while the platform lists it.
+    :param gone_at: monotonic time from which a server that the platform no longer lists counts as
+        gone, in seconds; it gets no new task before that either. 0 while the platform lists it.
     :param lease_ends_at: monotonic time by which every lease granted to the server has certainly
         ended, in seconds.
     :param born_ms: Unix time of the start of the lifetime that was last in contact, in
@@ -152,6 +152,20 @@
                 return True
         return False
 
+    def is_gone(self, now: float) -> bool:
+        """Return whether the entry of the server has been missing for too long to come back."""
+        return bool(self.gone_at) and now >= self.gone_at
+
+    def is_removable(self, now: float) -> bool:
+        """Return whether the server is no longer listed and has certainly no runs.
+
+        Runs on a server that answers may go on until they end, and those on one that does not
+        until their lease ends.
+        """
+        if not self.gone_at or self.run_by_task:
+            return False
+        return self.is_gone(now) or (self.suspect and now >= self.lease_ends_at)
+
     def may_become_usable(self) -> bool:
         """Return whether a server that is unusable now may be usable within one lease."""
         is_temporary = not self.acquired or self.suspect or self.has_unclaimed_runs()
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -63,8 +63,6 @@
     """Its server no longer lists it."""
     SERVER_RESTARTED = "server-restarted"
     """Its server has restarted."""
-    SERVER_REMOVED = "server-removed"
-    """Its server is no longer used."""
     SERVER_LISTED = "server-listed"
     """The server of the last known run has listed its runs, and the task was not among them."""
     ALL_SERVERS_LISTED = "all-servers-listed"
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -80,7 +80,8 @@
         self._note_token = note_token
         self._metrics = metrics
         self._acknowledged = 0
-        self._born_ms = server.listing.born_ms
+        # The listing may name a later lifetime than that of the known runs.
+        self._born_ms = server.born_ms
         self._may_extend = False
         self._lossy_until = 0.0
         self._backoff_s = INITIAL_BACKOFF_S
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -256,6 +256,7 @@
         harness.now += 0.1
         harness.scheduler.handle_unreachable(server_id, failure, harness.now)
     assert not harness.scheduler._crash_log.is_suspect("job.0.0.0")
+    harness.advance(0.1)
     harness.scheduler.remove_server(server_id, harness.now)
     assert harness.scheduler._crash_log.is_suspect("job.0.0.0"), "silent until it was removed"
 
@@ -299,6 +300,7 @@
     listing = harness.scheduler.server_by_id[server_id].listing
     harness.scheduler.set_server(replace(listing, draining=True))
     harness.scheduler.handle_unreachable(server_id, OrderFailure.REFUSED, harness.now)
+    harness.advance(1.1)
     harness.scheduler.remove_server(server_id, harness.now)
     assert not harness.scheduler._crash_log.is_suspect("job.0.0.0")
 
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -1,5 +1,6 @@
 """At most one run of a task at a time, even if messages are lost or late."""
 
+import pytest
 from scheduling_fakes import SchedulerHarness
 
 from redwingport_dispatch.exceptions import OrderFailure
@@ -40,6 +41,24 @@
     assert again.number > run.number
 
 
+# Guards against a second run of a task whose server was removed while the task may run there.
+def test_server_is_removed_only_after_its_runs_are_over() -> None:
+    harness = SchedulerHarness(servers=2)
+    harness.submit("job", deadline_s=10)
+    harness.accept_all()
+    server = harness.scheduler.server_by_id[harness.effects.started[0].server_id]
+    server.gone_at = harness.now + 0.2
+    harness.scheduler.handle_unreachable("s0", OrderFailure.NOT_SENT, harness.now)
+    harness.now += 0.5
+    assert not server.is_removable(harness.now)
+    with pytest.raises(ValueError, match="may still have 1 runs"):
+        harness.scheduler.remove_server("s0", harness.now)
+    harness.advance(0.6)
+    assert server.is_removable(harness.now)
+    harness.scheduler.remove_server("s0", harness.now)
+    assert [run.server_id for run in harness.effects.started] == ["s0", "s1"]
+
+
 def test_unanswered_start_is_retried_after_its_lease_has_ended() -> None:
     harness = SchedulerHarness(servers=2)
     harness.submit("job", deadline_s=10)
--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -86,6 +86,8 @@
 LONG = JobKind("long", 4, 0.9, (0.7, LONG_FACTOR))
 MEDIUM = JobKind("medium", 2, 0.2, (0.7, 1.5))
 KINDS = (SHORT, LONG, MEDIUM)
+# Its tasks outlast the leases and the grace period of a server that is no longer listed.
+LASTING = JobKind("lasting", 1, 5.0, (0.9, 1.1))
 # Its first task ends the server that starts it.
 CRASHING = JobKind("crashing", 2, 0.1, (0.7, 1.5))
 CRASH_AFTER_S = 0.012
@@ -641,6 +643,20 @@
 
         self.world.call_later(duration_s, start)
 
+    def unlist_server(self, server_id: str, duration_s: float) -> None:
+        """Remove the entry of a server for some seconds, while the server works on."""
+        listing = self.store.listing_by_id.get(server_id)
+        if listing is not None:
+            self.store.remove(server_id)
+            self.world.call_later(duration_s, lambda: self.store.put(listing))
+
+    def move_server(self, server_id: str) -> None:
+        """Change the address of a server, which answers there with its runs."""
+        server = self.server_by_id[server_id]
+        address = f"10.7.0.{len(self._server_by_address)}:1"
+        self._server_by_address[address] = server
+        self.store.put(replace(self.store.listing_by_id[server_id], address=address))
+
     def cut_server(self, server_id: str, duration_s: float) -> None:
         """Cut all paths to and from a server."""
         self.world.cut({(server_id, "*"), ("*", server_id)}, duration_s)
@@ -974,7 +990,9 @@
 
 
 def _kind_of(spec: str) -> JobKind:
-    return next(kind for kind in (*KINDS, CRASHING) if kind.name == spec.partition(" ")[0])
+    return next(
+        kind for kind in (*KINDS, LASTING, CRASHING) if kind.name == spec.partition(" ")[0]
+    )
 
 
 def _running_node() -> Node:
