Ask servers that have just left the list for runs of an earlier owner

What callers may see: a task runs twice.

Cause: a new owner starts a resumed task whose last run no holder can name once all listed servers have reported. Its list need not have the server of that run: the entry may have lapsed since the earlier owner, which reads the list at another time or is cut off from the store, has started the task there. And a holder that loses the notification of a placement with a broken link never learned of the run, as only completions were repeated.

Change: ServerWatcher keeps removed entries for three seconds. A new owner opens sessions to these servers, too, gives them no task, and drops them once they have reported no run or the earlier leases have ended. An owner repeats the placements of a work item that is submitted again.

--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -49,6 +49,8 @@
     :param server_clients: creates clients of the servers.
     :param listing_by_id: the currently listed servers; work items submitted before the sessions
         are open wait for them.
+    :param unlisted_by_id: servers that left the list a short time ago. An earlier owner may have
+        runs there, so they are asked for their runs, and get no task.
     :param term: term of the owner.
     :param settled_at: monotonic time until which holders may still submit the work items of an
         earlier owner, in seconds.
@@ -65,6 +67,7 @@
         settings: Settings,
         server_clients: ServerClientFactory,
         listing_by_id: Mapping[str, ServerListing],
+        unlisted_by_id: Mapping[str, ServerListing],
         term: int,
         settled_at: float,
         may_contest: Callable[[], bool],
@@ -81,6 +84,8 @@
         )
         for listing in listing_by_id.values():
             self.scheduler.set_server(listing)
+        for server_id in unlisted_by_id.keys() - listing_by_id.keys():
+            self.scheduler.add_unlisted_server(unlisted_by_id[server_id], current_time())
         self._shard = shard
         self._settings = settings
         self._server_clients = server_clients
@@ -137,6 +142,8 @@
                     "server-added", server=server_id, domain=listing.domain, kind=server.kind
                 )
         for server_id, server in self.scheduler.server_by_id.items():
+            if server_id not in self._session_by_server:
+                self._open_session(server_id)
             if server_id not in listing_by_id and not server.gone_at and store_is_fresh:
                 server.gone_at = now + UNLISTED_GRACE_S
                 self.log_decision("server-unlisted", server=server_id, answers=not server.suspect)
@@ -263,7 +270,7 @@
 
     def report_placed(self, work: Work, run: Run, placement: Placement) -> None:
         """Notify the holder that the start of a task was ordered; see :class:`Effects`."""
-        self._add_event(work, (work.work_id, run.index, "placed", run.number, run.server_id))
+        self.report_placed_again(work, run)
         now = current_time()
         earlier: dict[str, object] = {}
         if run.number > 1 or work.resumed:
@@ -282,6 +289,10 @@
             **earlier,
         )
 
+    def report_placed_again(self, work: Work, run: Run) -> None:
+        """Repeat the notification of a placement; see :class:`Effects`."""
+        self._add_event(work, (work.work_id, run.index, "placed", run.number, run.server_id))
+
     def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
         """Notify the holder that a task is done; see :class:`Effects`."""
         self._add_event(work, (work.work_id, task.index, "done", run_number, server_id))
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -381,6 +381,7 @@
             self.settings,
             self._platform.server_clients,
             listing_by_id,
+            self._listing_of_shard(shard, self._servers.recently_removed()),
             term,
             self._settled_at(),
             lambda: self._election.reaches_majority(current_time()),
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/effects.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/effects.py
@@ -22,6 +22,10 @@
         """Notify the holder that a task was placed on a server."""
         ...
 
+    def report_placed_again(self, work: Work, run: Run) -> None:
+        """Repeat the notification of a placement, which a broken link may have lost."""
+        ...
+
     def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
         """Notify the holder that a task is done.
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -122,6 +122,15 @@
         server.candidate.leaving = listing.draining
         return server
 
+    def add_unlisted_server(self, listing: ServerListing, now: float) -> None:
+        """Add a server that has left the list, on which an earlier owner may have runs.
+
+        It is gone once it has no runs, and its earlier leases have ended unless it answers.
+        """
+        server = self.set_server(listing)
+        server.gone_at = now + self._longest_lease_s()
+        server.lease_ends_at = server.gone_at
+
     def remove_server(self, server_id: str, now: float) -> None:
         """Remove a server without runs.
 
@@ -412,6 +421,7 @@
         """
         work.deadline_at = max(work.deadline_at, again.deadline_at)
         self._report_done_again(work)
+        self._report_placed_again(work)
         for index, reported in again.task_by_index.items():
             task = work.task_by_index.get(index)
             if task is None or task.state not in (TaskState.QUEUED, TaskState.BLOCKED):
@@ -442,6 +452,12 @@
             if task.state is TaskState.DONE:
                 self._effects.report_done(work, task, task.next_run - 1, "")
 
+    def _report_placed_again(self, work: Work) -> None:
+        for task in work.task_by_index.values():
+            run = self.run_by_task.get(work.task_name(task.index))
+            if run is not None and run.work is work:
+                self._effects.report_placed_again(work, run)
+
     def _finish(self, work: Work, now: float) -> None:
         self._forget_work(work)
         self._history.note_ended(work, now)
--- a/packages/dispatch/src/redwingport_dispatch/watchers.py
+++ b/packages/dispatch/src/redwingport_dispatch/watchers.py
@@ -3,6 +3,7 @@
 import logging
 import time
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
 import anyio
 from result import Err
@@ -29,6 +30,9 @@
 DEFAULT_POLL_INTERVAL_S = 1.5
 # Interval of full reads, which recover changes that a watch has missed.
 FULL_READ_INTERVAL_S = 10.0
+# Time for which an entry is kept after its removal. An earlier owner may have started tasks there
+# shortly before, of which no holder was told.
+REMOVED_RETENTION_S = 3.0
 # Interval at which the table of processes is read again. A process that starts later connects to
 # the others; the read finds processes that were missed.
 VM_READ_INTERVAL_S = 10.0
@@ -153,6 +157,18 @@
                 self.offer(result.ok_value, "store")
 
 
+@dataclass(frozen=True, slots=True)
+class _RemovedEntry:
+    """Hold the last entry of a server that is no longer listed.
+
+    :param listing: the server.
+    :param expires_at: monotonic time until which it is kept, in seconds.
+    """
+
+    listing: ServerListing
+    expires_at: float
+
+
 class ServerWatcher:
     """Keep the list of servers up to date.
 
@@ -177,8 +193,18 @@
         self._metrics = metrics
         self._revision: int | None = None
         self._next_full_read_at = 0.0
+        self._removed_by_id: dict[str, _RemovedEntry] = {}
         self._store_health = StoreHealth("servers")
 
+    def recently_removed(self) -> dict[str, ServerListing]:
+        """Return the last entries of the servers that left the list a short time ago."""
+        now = current_time()
+        return {
+            server_id: entry.listing
+            for server_id, entry in self._removed_by_id.items()
+            if now < entry.expires_at
+        }
+
     async def run(self) -> None:
         """Read the store until the task is cancelled."""
         while True:
@@ -190,6 +216,7 @@
             if succeeded:
                 self.read_at = current_time()
                 self._store_health.handle_success()
+                self._prune_removed()
                 self._on_change(self.listing_by_id)
                 await anyio.sleep(
                     OWNER_POLL_INTERVAL_S if self._is_owner() else DEFAULT_POLL_INTERVAL_S
@@ -209,7 +236,10 @@
             for server_id, listing in self.listing_by_id.items()
             if server_id in table.unreadable
         }
-        self.listing_by_id = kept | table.by_id
+        listing_by_id = kept | table.by_id
+        for server_id in self.listing_by_id.keys() - listing_by_id.keys():
+            self._remove(server_id)
+        self.listing_by_id = listing_by_id
         self._revision = table.revision
         return True
 
@@ -225,10 +255,22 @@
         for listing in changes.listings:
             self.listing_by_id[listing.server_id] = listing
         for server_id in changes.removed:
-            self.listing_by_id.pop(server_id, None)
+            self._remove(server_id)
         self._revision = max(revision, changes.revision)
         return True
 
+    def _remove(self, server_id: str) -> None:
+        listing = self.listing_by_id.pop(server_id, None)
+        if listing is not None:
+            expires_at = current_time() + REMOVED_RETENTION_S
+            self._removed_by_id[server_id] = _RemovedEntry(listing, expires_at)
+
+    def _prune_removed(self) -> None:
+        now = current_time()
+        for server_id, entry in list(self._removed_by_id.items()):
+            if server_id in self.listing_by_id or now >= entry.expires_at:
+                del self._removed_by_id[server_id]
+
 
 class LayoutWatcher:
     """Maintain the layout of the shards, which is replaced when more shards are needed.
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -28,6 +28,7 @@
 
     started: list[Run] = field(default_factory=list)
     stopped: list[Run] = field(default_factory=list)
+    placed_again: list[tuple[str, str]] = field(default_factory=list)
     done: list[tuple[str, int]] = field(default_factory=list)
     failed: list[tuple[str, int]] = field(default_factory=list)
     refused: list[tuple[str, str, int]] = field(default_factory=list)
@@ -44,6 +45,9 @@
     def report_placed(self, work: Work, run: Run, placement: Placement) -> None:
         pass
 
+    def report_placed_again(self, work: Work, run: Run) -> None:
+        self.placed_again.append((run.task_name, run.server_id))
+
     def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
         self.done.append((work.job_id, task.index))
 
--- a/packages/dispatch/tests/test_cluster_servers.py
+++ b/packages/dispatch/tests/test_cluster_servers.py
@@ -144,3 +144,27 @@
         cluster.world.run(6.0)
     check(cluster)
     assert set(cluster.statuses()) == {200}
+
+
+# Guards against a second run of a task on a server that has left the list: the holder was not told
+# of the run before the owner ended, and the next owner asked the listed servers only.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_next_owner_asks_servers_that_have_just_left_the_list(seed: int) -> None:
+    cluster = start_cluster(seed)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        holder = next(e for e in cluster.entries if e.node.domain != owner.node.domain)
+        cluster.cut_pairs([owner.node.name], ["store"], 3.0)
+        for server_id in list(cluster.server_by_id)[1:]:
+            cluster.unlist_server(server_id, 20.0)
+        cluster.world.run(1.7)
+        for _ in range(4):
+            cluster.submit(LASTING, holder.node.domain, holder)
+        # The notifications are held up, and lost with the connection.
+        cluster.cut_pairs([owner.node.name], [holder.node.name], 20.0, both=False)
+        while cluster.monitor.starts < 4:
+            cluster.world.run(0.0001)
+        cluster.kill(owner, refuses=True)
+        cluster.world.run(10.0)
+    assert events_of(cluster, "task-placed")
+    check(cluster)
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -73,6 +73,7 @@
         SETTINGS,
         NoServerClients(),
         {"s0": listing},
+        {},
         1,
         0.0,
         lambda: True,
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -41,6 +41,16 @@
     assert again.number > run.number
 
 
+# Guards against a holder that never learns of a run because a broken link lost the notification:
+# the next owner takes the task for one that was never started.
+def test_placements_are_reported_again_when_a_work_item_is_submitted_again() -> None:
+    harness = SchedulerHarness(servers=1)
+    work = harness.submit("job", tasks=2)
+    assert harness.effects.placed_again == []
+    harness.submit("job", tasks=2, work_id=work.work_id)
+    assert harness.effects.placed_again == [("job.0.0.0", "s0"), ("job.0.0.1", "s0")]
+
+
 # Guards against a second run of a task whose server was removed while the task may run there.
 def test_server_is_removed_only_after_its_runs_are_over() -> None:
     harness = SchedulerHarness(servers=2)
--- a/packages/testbed/src/redwingport_testbed/shards/simulation.py
+++ b/packages/testbed/src/redwingport_testbed/shards/simulation.py
@@ -95,6 +95,7 @@
             settings=SETTINGS,
             server_clients=self,
             listing_by_id=self.listing_by_id,
+            unlisted_by_id={},
             term=TERM,
             settled_at=0.0,
             may_contest=lambda: True,
