Grant leases only as far as a successor waits for their end

An owner froze for 1.2 s while a server was cut off. When it woke, it took the leases for ended and ordered the tasks anew before it read a message of the others; the server took such an order after the cut, beside the run that the next owner had started, for 0.23 to 0.3 s.

Cause: the next owner starts a task on another server when the leases of the earlier owner must have ended, counted from the last heartbeat that the holder received, plus the liveness timeout, plus a lease. Nothing held an owner to that. It granted leases whenever its timers ran, also for holders that had not heard it for longer: after a pause, while only its own heartbeats were cut off, or for runs that a holder had released.

Change: processes confirm the heartbeats of owners by their number, which is now the owner's clock at sending (CLOCK_BOOTTIME, which goes on in a suspended VM). No lease for the tasks of a holder extends beyond the sending of the last confirmed heartbeat, a grant period of 0.3 s and one lease. The limit of a server is the lowest of its runs. It is looked at when a task is placed, and again when the order is sent; runs that have lost their work item keep the limit of that moment. Successors wait for exactly this: unheard time deducted from grant period and lease. That is 0.2 s less than before for an earlier owner that has been silent for more than 0.5 s, and up to 0.3 s more for one that was heard until now. The estimate of the server's clock counts its slowest rate, and a refused connection no longer changes the time of the last heartbeat.

Why it works: the owner computes the limit from its own clock and from what the holder has certainly received, so that a delay or pause of owner, holder or message can only lower it. An order carries the limit on the server's clock, so that one which is held up is late.

Presence and PresenceUnchanged have a new field: processes of this and earlier revisions do not link to each other.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -353,6 +353,18 @@
         "a server obeys another owner, so placement is paused for three heartbeats",
         ("server", *OWNER_FIELDS),
     ),
+    LogEvent(
+        "starts-withheld",
+        _O,
+        "a holder has not confirmed a recent heartbeat of this owner, so that its tasks wait",
+        ("holder", *OWNER_FIELDS),
+    ),
+    LogEvent(
+        "starts-resumed",
+        _O,
+        "a holder has confirmed a recent heartbeat again",
+        ("holder", *OWNER_FIELDS),
+    ),
     LogEvent("owner-failed", _P, "an owner ended with an error", ("term", "error")),
     LogEvent("shards-raised", _P, "the number of shards was raised", ("count", "was")),
     LogEvent(
--- a/packages/dispatch/src/redwingport_dispatch/exceptions.py
+++ b/packages/dispatch/src/redwingport_dispatch/exceptions.py
@@ -26,6 +26,8 @@
     """No connection could be opened, so the server did not receive the order."""
     REFUSED = enum.auto()
     """The machine of the server refused the connection: nothing listens at the address."""
+    NO_LEASE = enum.auto()
+    """This owner may grant no sufficient lease at present, and has not sent the order."""
     NO_ANSWER = enum.auto()
     """No answer arrived in time; the order may still be executed."""
 
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -59,6 +59,8 @@
     :param send_notification: sends a notification to a holder.
     :param metrics: metrics of the process.
     :param crash_log: crashes of servers that the process knows of; None for an empty log.
+    :param lease_limit_at: returns the monotonic time beyond which no lease for the tasks of a
+        holder may extend, in seconds; None for no limit.
     """
 
     def __init__(
@@ -75,12 +77,18 @@
         send_notification: Callable[[str, Notification], None],
         metrics: Metrics,
         crash_log: CrashLog | None = None,
+        lease_limit_at: Callable[[str], float] | None = None,
     ) -> None:
         self.term = term
         # During a burst, many reports and work items arrive in one iteration of the event loop. A
         # pass over the queue for each of them would take most of the processor time.
         self.scheduler = Scheduler(
-            self, settings.bounds, settled_at, self._request_dispatch, crash_log
+            self,
+            settings.bounds,
+            settled_at,
+            self._request_dispatch,
+            crash_log,
+            lease_limit_at,
         )
         for listing in listing_by_id.values():
             self.scheduler.set_server(listing)
--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -14,7 +14,7 @@
 
 from redwingport_dispatch.interfaces import VmRecord
 from redwingport_dispatch.ownership.terms import new_term
-from redwingport_messages.dispatch import Presence
+from redwingport_messages.dispatch import Presence, PresenceUnchanged
 
 # Heartbeat interval to and from owners, and between all processes of a small system. An owner has
 # to notice that a holder is unreachable before another owner can be elected on the holder's side
@@ -52,16 +52,20 @@
     :param presence: its last presence message.
     :param received_at: monotonic time of its last heartbeat, in seconds.
     :param sequence: sequence number of its last heartbeat.
+    :param heard_sequence: highest sequence number of a heartbeat of this process that the peer is
+        known to have received.
+    :param times_out_at: monotonic time from which it is considered unreachable, in seconds.
     """
 
     presence: Presence
     received_at: float
     sequence: int
+    heard_sequence: int
+    times_out_at: float
 
-    @property
-    def liveness_timeout_s(self) -> float:
-        """Return the silence after which the peer is considered unreachable, in seconds."""
-        return LIVENESS_TIMEOUT_HEARTBEATS * self.presence.heartbeat_ms / 1000
+    def is_live(self, now: float) -> bool:
+        """Return whether the last heartbeat is younger than the liveness timeout."""
+        return now < self.times_out_at
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,34 +112,38 @@
         view = self.peer_by_incarnation.get(presence.incarnation)
         if view is not None and presence.sequence < view.sequence:
             return False
-        was_live = view is not None and now - view.received_at < view.liveness_timeout_s
         changed = (
             view is None
-            or not was_live
+            or not view.is_live(now)
             or _ownership_claims(view.presence) != _ownership_claims(presence)
         )
-        self.peer_by_incarnation[presence.incarnation] = PeerView(presence, now, presence.sequence)
+        heard_sequence = max(presence.heard_sequence, view.heard_sequence if view else 0)
+        self.peer_by_incarnation[presence.incarnation] = PeerView(
+            presence,
+            now,
+            presence.sequence,
+            heard_sequence,
+            now + _liveness_timeout_s(presence),
+        )
         terms = [term for _, term in presence.owned_terms]
         self.highest_term = max(self.highest_term, presence.term, *terms)
         return changed
 
-    def renew(self, presence: Presence, sequence: int, now: float) -> bool:
+    def renew(self, presence: Presence, heartbeat: PresenceUnchanged, now: float) -> bool:
         """Record a heartbeat that repeats the last presence message of a live peer.
 
         :param presence: the repeated message.
-        :param sequence: sequence number of the heartbeat.
+        :param heartbeat: the heartbeat.
         :returns: whether that message is the last one of the peer, which has not timed out since;
             otherwise nothing is recorded.
         """
         view = self.peer_by_incarnation.get(presence.incarnation)
-        if (
-            view is None
-            or view.presence is not presence
-            or now - view.received_at >= view.liveness_timeout_s
-        ):
+        if view is None or view.presence is not presence or not view.is_live(now):
             return False
         view.received_at = now
-        view.sequence = max(view.sequence, sequence)
+        view.times_out_at = now + _liveness_timeout_s(presence)
+        view.sequence = max(view.sequence, heartbeat.sequence)
+        view.heard_sequence = max(view.heard_sequence, heartbeat.heard_sequence)
         return True
 
     def set_shard_count(self, count: int) -> None:
@@ -190,23 +198,27 @@
         """
         view = self.peer_by_incarnation.get(incarnation)
         if view is not None:
-            view.received_at = min(
-                view.received_at, now - view.liveness_timeout_s + REFUSED_GRACE_S
-            )
+            view.times_out_at = min(view.times_out_at, now + REFUSED_GRACE_S)
 
     def receives_heartbeats_from(self, incarnation: str, now: float) -> bool:
         """Tell whether the last heartbeat of a peer is younger than its liveness timeout."""
         view = self.peer_by_incarnation.get(incarnation)
-        return view is not None and now - view.received_at < view.liveness_timeout_s
+        return view is not None and view.is_live(now)
+
+    def last_sequence(self, incarnation: str) -> int:
+        """Return the sequence number of the last heartbeat of an owner; 0 for another peer."""
+        view = self.peer_by_incarnation.get(incarnation)
+        return view.sequence if view is not None and view.presence.owned_terms else 0
+
+    def heard_sequence(self, incarnation: str) -> int:
+        """Return the sequence number of the last heartbeat that a peer has certainly received."""
+        view = self.peer_by_incarnation.get(incarnation)
+        return view.heard_sequence if view is not None else 0
 
     def is_reachable(self, incarnation: str, now: float) -> bool:
         """Tell whether heartbeats arrive in both directions between a peer and this process."""
         view = self.peer_by_incarnation.get(incarnation)
-        return (
-            view is not None
-            and now - view.received_at < view.liveness_timeout_s
-            and view.presence.hears_you
-        )
+        return view is not None and view.is_live(now) and view.presence.hears_you
 
     def unheard_s(self, incarnation: str, now: float) -> float:
         """Return the time since the last heartbeat of a peer in seconds; 0 for an unknown peer."""
@@ -225,10 +237,7 @@
 
         :returns: monotonic time in seconds; infinite when no timeout is running.
         """
-        timeouts_at = [
-            view.received_at + view.liveness_timeout_s
-            for view in self.peer_by_incarnation.values()
-        ]
+        timeouts_at = [view.times_out_at for view in self.peer_by_incarnation.values()]
         return min(
             (timeout_at for timeout_at in timeouts_at if timeout_at > now), default=math.inf
         )
@@ -341,5 +350,9 @@
                 del self.peer_by_incarnation[incarnation]
 
 
+def _liveness_timeout_s(presence: Presence) -> float:
+    return LIVENESS_TIMEOUT_HEARTBEATS * presence.heartbeat_ms / 1000
+
+
 def _ownership_claims(presence: Presence) -> tuple[object, ...]:
     return presence.shards, presence.owned_terms, presence.draining, presence.hears_you
--- a/packages/dispatch/src/redwingport_dispatch/ownership/leases.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/leases.py
@@ -7,6 +7,13 @@
 CLOCK_RATE_ERROR = 0.02
 # Assumed maximum time for an order to reach the server and be answered.
 MAX_ROUND_TRIP_S = 0.05
+# An owner may grant full leases for the tasks of a holder until this long after it has sent the
+# last heartbeat that the holder is known to have received; leases granted later end no later. The
+# next owner adds this time to the longest lease when it waits for the end of these leases. It
+# covers the interval between two heartbeats and that between two answers.
+GRANT_PERIOD_S = 0.3
+# An order with less of a lease than this share is not sent: the next renewal might come too late.
+MIN_START_LEASE_SHARE = 0.75
 
 
 def max_local_duration_s(duration_s: float) -> float:
@@ -50,17 +57,20 @@
         self._clock_ms = clock_ms
         self._clock_read_at = received_at
 
-    def extend(self, now: float) -> int:
-        """Extend the lease to its full duration.
+    def extend(self, now: float, limit_at: float = math.inf) -> int:
+        """Extend the lease to its full duration, or to a limit.
 
         :param now: monotonic time of sending, in seconds.
+        :param limit_at: monotonic time beyond which the lease must not extend, in seconds.
         :returns: end of the lease on the server's clock, in milliseconds.
         """
-        elapsed_s = max(0.0, now - self._clock_read_at)
-        until_ms = self._clock_ms + int((elapsed_s + self._lease_s) * 1000)
+        duration_s = min(self._lease_s, max(0.0, limit_at - now))
+        # The server's clock may run slow, so that less time has passed there.
+        elapsed_s = max(0.0, now - self._clock_read_at) * (1 - CLOCK_RATE_ERROR)
+        until_ms = self._clock_ms + int((elapsed_s + duration_s) * 1000)
         # The server limits a lease to its maximum duration when the order arrives, which is later
         # than now.
-        self.ends_at = max(self.ends_at, now + max_local_duration_s(self._lease_s))
+        self.ends_at = max(self.ends_at, now + max_local_duration_s(duration_s))
         return until_ms
 
     def reset_clock(self) -> None:
--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -86,10 +86,12 @@
     :param state: returns what that message would contain, but for constants and the sequence
         number.
     :param next_sequence: returns the sequence number of the next heartbeat.
+    :param heard_sequence: returns the sequence number of the last heartbeat of a peer that is to
+        be confirmed, by incarnation.
     :param is_reachable: tells whether heartbeats to and from a peer arrive, by incarnation.
     :param on_message: called with the incarnation of the sender and its message.
-    :param on_unchanged: called with a presence message that a heartbeat repeats and the sequence
-        number of the heartbeat; returns whether nothing else has to be done.
+    :param on_unchanged: called with a presence message that a heartbeat repeats and the
+        heartbeat; returns whether nothing else has to be done.
     :param on_link: called with the incarnation of a peer to or from which a link was opened.
     :param on_refused: called with the incarnation of a peer whose address refuses connections.
     """
@@ -101,9 +103,10 @@
         describe: Callable[[str], Presence],
         state: Callable[[str], object],
         next_sequence: Callable[[], int],
+        heard_sequence: Callable[[str], int],
         is_reachable: Callable[[str], bool],
         on_message: Callable[[str, Frame], None],
-        on_unchanged: Callable[[Presence, int], bool],
+        on_unchanged: Callable[[Presence, PresenceUnchanged], bool],
         on_link: Callable[[str], None],
         on_refused: Callable[[str], None],
     ) -> None:
@@ -112,6 +115,7 @@
         self._describe = describe
         self._state = state
         self._next_sequence = next_sequence
+        self._heard_sequence = heard_sequence
         self._is_reachable = is_reachable
         self._on_message = on_message
         self._on_unchanged = on_unchanged
@@ -289,7 +293,8 @@
     async def _send_presence(self, link: _OutgoingLink, connection: OutgoingConnection) -> None:
         state = self._state(link.incarnation)
         if state == link.sent_state:
-            await connection.send([PresenceUnchanged(self._next_sequence())])
+            heard_sequence = self._heard_sequence(link.incarnation)
+            await connection.send([PresenceUnchanged(self._next_sequence(), heard_sequence)])
             return
         # The state is not kept across a wait, in which a queued presence message may be sent.
         link.sent_state = state
@@ -319,9 +324,11 @@
             if presence is None:
                 raise MessageError("receive frame", connection.peer, "no presence message before")
             self._note_presence(presence)
-            if not self._on_unchanged(presence, message.sequence):
+            if not self._on_unchanged(presence, message):
                 # The peer has timed out or was removed since: handle its presence anew.
-                connection.presence = replace(presence, sequence=message.sequence)
+                connection.presence = replace(
+                    presence, sequence=message.sequence, heard_sequence=message.heard_sequence
+                )
                 self._on_message(presence.incarnation, connection.presence)
         elif connection.incarnation:
             self._on_message(connection.incarnation, message)
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -1,6 +1,5 @@
 """A dispatch process: its components, and how they react to changes of owners and the store."""
 
-import itertools
 import logging
 import math
 import secrets
@@ -12,7 +11,7 @@
 from anyio.abc import TaskGroup
 from prometheus_client import make_asgi_app
 
-from redwingport_dispatch.clock import current_time
+from redwingport_dispatch.clock import boot_time, current_time
 from redwingport_dispatch.front import JobApi, ReadinessCheck
 from redwingport_dispatch.holder import NO_OWNER, Holder, OwnerMessage
 from redwingport_dispatch.interfaces import (
@@ -27,7 +26,7 @@
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.ownership.election import Election, ShardOwner
-from redwingport_dispatch.ownership.leases import max_local_duration_s
+from redwingport_dispatch.ownership.leases import GRANT_PERIOD_S, max_local_duration_s
 from redwingport_dispatch.ownership.shards import UNKNOWN_LAYOUT, shard_of
 from redwingport_dispatch.peers import Mesh
 from redwingport_dispatch.routes import RouteTable
@@ -50,6 +49,7 @@
     LayoutAnswer,
     LayoutQuery,
     Presence,
+    PresenceUnchanged,
     ReleaseWork,
     ServerCrashes,
     SubmitWork,
@@ -137,7 +137,6 @@
         self._reachable_peers: set[str] = set()
         self._isolated_since = current_time()
         self._timeout_changed = anyio.Event()
-        self._sequence = itertools.count(1)
         self._owner_by_shard: dict[int, Owner] = {}
         self._crash_log = CrashLog(self._announce_crashes, self._announce_retraction)
         self._drain_started = anyio.Event()
@@ -152,7 +151,8 @@
             self._election.heartbeat_s,
             self._describe,
             self._summarize,
-            lambda: next(self._sequence),
+            _next_sequence,
+            self._election.last_sequence,
             lambda peer: self._election.is_reachable(peer, current_time()),
             self._handle_message,
             self._renew_presence,
@@ -389,6 +389,7 @@
             self._send_notification,
             self.metrics,
             self._crash_log,
+            self._lease_limit_at,
         )
         self._owner_by_shard[shard] = owner
         for record in self._directory.others or ():
@@ -397,6 +398,21 @@
         self._supervisor.start(f"owner-{term}", lambda: self._run_owner(shard, owner))
         self._mesh.announce()
 
+    def _lease_limit_at(self, holder: str) -> float:
+        """Return the time beyond which no lease for the tasks of a holder may extend.
+
+        It follows the sending of the last heartbeat that the holder has confirmed. A holder that
+        turns to another owner tells it for how long it has received no heartbeat of this one,
+        which is at most the time since then, whatever was delayed or paused.
+
+        :returns: monotonic time in seconds; infinite for this process, which knows when it is no
+            longer the owner.
+        """
+        if holder == self.incarnation:
+            return math.inf
+        confirmed_s = boot_time() - self._election.heard_sequence(holder) / 1000
+        return current_time() - confirmed_s + GRANT_PERIOD_S + self.settings.bounds.lease_s
+
     def _settled_at(self) -> float:
         """Return the time by which the work items of earlier owners reach one elected now."""
         now = current_time()
@@ -451,7 +467,8 @@
     def _describe(self, peer: str) -> Presence:
         return Presence(
             incarnation=self.incarnation,
-            sequence=next(self._sequence),
+            sequence=_next_sequence(),
+            heard_sequence=self._election.last_sequence(peer),
             vm=self.settings.process.vm,
             domain=self.settings.process.domain,
             address=self.settings.listen.peers,
@@ -513,14 +530,14 @@
             self._mesh.send(presence.incarnation, self._describe(presence.incarnation))
             self._update_owners()
 
-    def _renew_presence(self, presence: Presence, sequence: int) -> bool:
+    def _renew_presence(self, presence: Presence, heartbeat: PresenceUnchanged) -> bool:
         """Handle a heartbeat that repeats a presence message; return whether that was enough."""
         # What the message announced may have been requested in vain.
         is_ahead = (
             presence.layout_revision > self._shard_layout.revision
             or presence.configuration_revision > self._configuration.revision
         )
-        return not is_ahead and self._election.renew(presence, sequence, current_time())
+        return not is_ahead and self._election.renew(presence, heartbeat, current_time())
 
     def _remove_predecessor(self, presence: Presence) -> None:
         """Remove an earlier process at the same address: it has ended, and so have its clients."""
@@ -617,6 +634,11 @@
             owner.update_servers(self._listing_of_shard(shard, listing_by_id), fresh)
 
 
+def _next_sequence() -> int:
+    """Return the sequence number of a heartbeat that is sent now."""
+    return int(boot_time() * 1000)
+
+
 def _encode_crashes(crashes: Sequence[Crash], retractions: Sequence[Retraction]) -> ServerCrashes:
     now = current_time()
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -11,8 +11,11 @@
     ServerListing,
     ServerReport,
 )
-from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
-from redwingport_dispatch.ownership.leases import max_local_duration_s
+from redwingport_dispatch.ownership.leases import (
+    GRANT_PERIOD_S,
+    MIN_START_LEASE_SHARE,
+    max_local_duration_s,
+)
 from redwingport_dispatch.scheduling import admission
 from redwingport_dispatch.scheduling.crashes import RECORD_TTL_S, Crash, CrashLog, Lifetime
 from redwingport_dispatch.scheduling.effects import Effects
@@ -76,6 +79,8 @@
     :param on_dispatch_due: called when queued tasks may be able to start, for a call of
         :meth:`dispatch` soon; None for a pass over the queue after each change.
     :param crash_log: crashes of servers that the process knows of; None for an empty log.
+    :param lease_limit_at: returns the monotonic time beyond which no lease for the tasks of a
+        holder may extend, in seconds; None for no limit.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         settled_at: float = 0.0,
         on_dispatch_due: Callable[[], None] | None = None,
         crash_log: CrashLog | None = None,
+        lease_limit_at: Callable[[str], float] | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
@@ -107,6 +113,8 @@
         self._crash_log_revision = 0
         self._reserved_by_work: dict[WorkKey, ServerState] = {}
         self._placement_paused_until = 0.0
+        self._lease_limit_at = lease_limit_at
+        self._unconfirmed_holders: set[str] = set()
 
     # Servers
 
@@ -196,11 +204,8 @@
         :param resumed: whether an earlier owner may have started tasks of the work item.
         :param now: monotonic time, in seconds.
         :param unheard_s: time since the holder last received a heartbeat from that owner, in
-            seconds; deducted from the wait for the end of its leases, but for the liveness
-            timeout, within which it may have extended them without a heartbeat that arrived. The
-            owner has either ended
-            since then, or noticed soon afterwards that the holder was unreachable, and stopped
-            the runs of the work item.
+            seconds. That owner grants no lease for the tasks of the holder that ends later than
+            one granted in full at the end of the grant period after that heartbeat.
         """
         if work.key in self.work_by_key:
             self._resubmit(self.work_by_key[work.key], work, placed_by_index, now)
@@ -224,9 +229,9 @@
             return
         work.late = now + work.shape.estimate_s > work.target_at
         work.resumed = resumed
-        silent_s = max(0.0, unheard_s - LIVENESS_TIMEOUT_S)
         settled_at = max(self._settled_at, now)
-        work.safe_at = now + self._longest_lease_s() - silent_s if resumed else settled_at
+        leases_end_at = now - unheard_s + GRANT_PERIOD_S + self._longest_lease_s()
+        work.safe_at = leases_end_at if resumed else settled_at
         # If the previous owner was reachable until recently, its reports may be in flight.
         recently_reachable = resumed and unheard_s < HANDOVER_REPORT_S
         if recently_reachable:
@@ -284,7 +289,8 @@
         for task in work.task_by_index.values():
             run = self.run_by_task.get(work.task_name(task.index))
             if run is not None and run.work is work:
-                run.work, run.released_work = None, work
+                self._detach_run(run, work)
+                run.released_work = work
                 if run.state in (RunState.STARTING, RunState.RUNNING):
                     run.orphan_until = now + ORPHAN_GRACE_S
 
@@ -293,6 +299,7 @@
 
         :returns: the number of cancelled work items.
         """
+        self._unconfirmed_holders.discard(holder)
         works = [work for work in self.work_by_key.values() if work.holder == holder]
         for work in works:
             self._drop_work(work, now, logs_ends=True)
@@ -467,7 +474,7 @@
         for task in work.task_by_index.values():
             run = self.run_by_task.get(work.task_name(task.index))
             if run is not None and run.work is work:
-                run.work = None
+                self._detach_run(run, work)
                 run.logs_end = logs_ends
                 self._stop_run(run, now)
 
@@ -484,6 +491,49 @@
     def _longest_lease_s(self) -> float:
         return max_local_duration_s(self._bounds.lease_s)
 
+    # Limits of leases
+
+    def lease_limit_at(self, server: ServerState) -> float:
+        """Return the time beyond which no lease on a server may extend.
+
+        A lease covers everything that runs there, so the lowest limit of its runs applies.
+
+        :returns: monotonic time in seconds; infinite without a limit.
+        """
+        if self._lease_limit_at is None:
+            return math.inf
+        limits_at = [
+            self._lease_limit_at(run.work.holder) if run.work is not None else run.lease_limit_at
+            for run in server.run_by_task.values()
+        ]
+        return min(limits_at, default=math.inf)
+
+    def _detach_run(self, run: Run, work: Work) -> None:
+        """Separate a run from its work item, which may have another owner from now on."""
+        run.work = None
+        limit_at = self._lease_limit_at
+        run.lease_limit_at = math.inf if limit_at is None else limit_at(work.holder)
+
+    def _min_start_lease_s(self) -> float:
+        return MIN_START_LEASE_SHARE * self._bounds.lease_s
+
+    def _may_extend_leases(self, server: ServerState, now: float) -> bool:
+        """Return whether a start, which extends all leases on a server, may be sent there."""
+        return self.lease_limit_at(server) >= now + self._min_start_lease_s()
+
+    def _may_start(self, holder: str, now: float) -> bool:
+        """Return whether a sufficient lease may be granted for the tasks of a holder."""
+        if self._lease_limit_at is None:
+            return True
+        may_start = self._lease_limit_at(holder) >= now + self._min_start_lease_s()
+        if may_start and holder in self._unconfirmed_holders:
+            self._unconfirmed_holders.discard(holder)
+            self._effects.log_decision("starts-resumed", holder=holder)
+        elif not may_start and holder not in self._unconfirmed_holders:
+            self._unconfirmed_holders.add(holder)
+            self._effects.log_decision("starts-withheld", holder=holder)
+        return may_start
+
     # Placement
 
     def _request_dispatch(self, now: float) -> None:
@@ -508,16 +558,21 @@
         open_servers: Sequence[ServerState] = [
             server
             for server in self._find_open_servers(self.server_by_id.values(), min_cpu_millis)
-            if self._is_usable(server, now)
+            if self._is_usable(server, now) and self._may_extend_leases(server, now)
         ]
         if not open_servers:
             return
         usable = UsableServers(lambda: self.usable_servers(now), self.speeds)
         max_free_cpu_millis = max(server.free_cpu_millis for server in open_servers)
         upcoming_slots = UpcomingSlots(usable, now)
+        may_start_by_holder: dict[str, bool] = {}
         for work in self.queue:
             if work.shape.cpu_millis > max_free_cpu_millis:
                 continue
+            if work.holder not in may_start_by_holder:
+                may_start_by_holder[work.holder] = self._may_start(work.holder, now)
+            if not may_start_by_holder[work.holder]:
+                continue
             runs_before = len(self.run_by_task)
             if self._place_work(work, open_servers, usable, upcoming_slots, now):
                 self.queue.remove(work)
@@ -600,10 +655,13 @@
         """
         works = [work for work in self.queue if self._crash_log.has_suspects(work.job_id)]
         servers = self.usable_servers(now) if works else []
+        servers = [server for server in servers if self._may_extend_leases(server, now)]
         usable = UsableServers(lambda: servers, self.speeds)
         for work in works:
             suspects = self._suspects_of(work)
             queued = [task for task in suspects if task.state is TaskState.QUEUED]
+            if not self._may_start(work.holder, now):
+                continue
             if not self._crash_log.is_cleared(work.job_id):
                 if any(self._runs_alone(work.task_name(task.index)) for task in suspects):
                     continue
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -219,6 +219,8 @@
     :param released_work: work item that it belonged to until its holder submitted that to another
         owner; None if there is none.
     :param identity: identity of its job; empty for a run that no process has claimed.
+    :param lease_limit_at: monotonic time beyond which its lease must not extend while it belongs
+        to no work item, in seconds: another owner may have the work item by now.
     """
 
     task_name: str
@@ -240,6 +242,7 @@
     logs_end: bool = False
     released_work: Work | None = None
     identity: str = ""
+    lease_limit_at: float = 0.0
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -11,7 +11,7 @@
 from redwingport_dispatch.exceptions import OrderError, OrderFailure
 from redwingport_dispatch.interfaces import RunEnd, ServerClient, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
-from redwingport_dispatch.ownership.leases import Lease
+from redwingport_dispatch.ownership.leases import MIN_START_LEASE_SHARE, Lease
 from redwingport_dispatch.ownership.terms import raise_token
 from redwingport_dispatch.scheduling.scheduler import Scheduler
 from redwingport_dispatch.scheduling.servers import ServerState
@@ -116,7 +116,10 @@
             and not self._server.has_unclaimed_runs()
         )
         wait_s = self._wait_s(sent_at) if self._server.acquired and self._may_extend else 0.0
-        until_ms = self._lease.extend(sent_at) if extends else None
+        limit_at = self._scheduler.lease_limit_at(self._server)
+        until_ms = None
+        if extends and limit_at > sent_at:
+            until_ms = self._lease.extend(sent_at, limit_at)
         self._note_lease_end()
         # An unanswered renewal may have been executed. The lease is not extended again until the
         # server has answered, so that behind a one-way network partition the runs are stopped by
@@ -234,11 +237,19 @@
 
     async def _start(self, run: Run, work: Work) -> None:
         now = current_time()
+        # Looked at again, as the process may have been paused since the task was placed.
+        limit_at = self._scheduler.lease_limit_at(self._server)
+        if limit_at < now + MIN_START_LEASE_SHARE * self._lease_s:
+            reason = "the holder has not confirmed a recent heartbeat of this owner"
+            error = OrderError("start", self._server_id, reason, OrderFailure.NO_LEASE)
+            self._log_start_failure(run, work, Err(error))
+            self._scheduler.handle_not_started(run, error.failure, now)
+            return
         order = StartOrder(
             task=run.task_name,
             number=run.number,
             spec=work.spec,
-            lease_until_ms=self._lease.extend(now),
+            lease_until_ms=self._lease.extend(now, limit_at),
             token=self._token,
         )
         self._note_lease_end()
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -25,6 +25,8 @@
 
     def __init__(self, answers: list[Result[ServerReport, OrderError]]) -> None:
         self.extended: list[bool] = []
+        self.until_ms: list[int] = []
+        self.started: list[StartOrder] = []
         self.waits_ms: list[int] = []
         self._answers = answers
 
@@ -39,11 +41,14 @@
         if not self._answers:
             await anyio.sleep_forever()
         self.extended.append(lease_until_ms is not None)
+        if lease_until_ms is not None:
+            self.until_ms.append(lease_until_ms)
         self.waits_ms.append(wait_ms)
         await anyio.sleep(0)
         return self._answers.pop(0)
 
     async def start(self, order: StartOrder, deadline: float) -> Result[int, OrderError]:
+        self.started.append(order)
         return Ok(1)
 
     async def stop(
@@ -141,3 +146,44 @@
     await renewals(harness, [running()])
     harness.scheduler.tick(anyio.current_time())
     assert harness.scheduler.run_by_task["job.0.0.0"] is run
+
+
+async def test_renewal_does_not_extend_lease_beyond_its_limit() -> None:
+    """Guard against a lease that outlasts the wait of the next owner."""
+    harness = SchedulerHarness(servers=1)
+    work = harness.submit("job", deadline_s=60)
+    harness.accept_all()
+    harness.lease_limit_at_by_holder[work.holder] = anyio.current_time() + 0.4
+    client = await renew_all(harness, [running(), running(), running()])
+    assert client.extended == [False, True, True]
+    assert all(until_ms <= 5400 for until_ms in client.until_ms)
+    harness.lease_limit_at_by_holder[work.holder] = anyio.current_time()
+    assert await renewals(harness, [running(), running()]) == [False, False]
+
+
+async def test_start_is_not_sent_when_its_holder_has_become_silent_since_its_placement() -> None:
+    """Guard against orders of an owner that was paused between a decision and its sending."""
+    harness = SchedulerHarness(servers=1)
+    client = ScriptedClient([running()])
+    session = ServerSession(
+        harness.scheduler.server_by_id["s0"],
+        client,
+        harness.scheduler,
+        1,
+        LEASE_S,
+        lambda: False,
+        lambda token: None,
+        Metrics(),
+    )
+    work = harness.submit("job", deadline_s=60)
+    run = harness.effects.started[0]
+    harness.lease_limit_at_by_holder[work.holder] = anyio.current_time() + 0.7
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(session.run, task_group)
+        await anyio.sleep(0.05)
+        session.start(run, work)
+        await anyio.sleep(0.05)
+        task_group.cancel_scope.cancel()
+    assert client.started == []
+    assert harness.scheduler.run_by_task.get("job.0.0.0") is None
+    assert not harness.scheduler.server_by_id["s0"].suspect
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -26,8 +26,10 @@
     """Heartbeat of a process, with its view of ownership and configuration.
 
     :param incarnation: random id of the sender's incarnation.
-    :param sequence: sequence number of the sender's heartbeats; the receiver drops an older one
-        that arrives late over a link that is being closed.
+    :param sequence: time of sending on the sender's clock, in milliseconds; the receiver drops an
+        older heartbeat that arrives late over a link that is being closed.
+    :param heard_sequence: sequence number of the last heartbeat that the sender has received from
+        the receiver of this message; 0 if there is none or the receiver owns no shard.
     :param vm: VM of the sender.
     :param domain: failure domain of the sender.
     :param address: IP:PORT at which the sender accepts connections from peers.
@@ -45,6 +47,7 @@
 
     incarnation: str
     sequence: Count
+    heard_sequence: Count
     vm: str
     domain: str
     address: str
@@ -66,10 +69,13 @@
     Most heartbeats change nothing. The short form saves most of the bytes and processor time that
     heartbeats cost in a large system.
 
-    :param sequence: sequence number of this heartbeat.
+    :param sequence: sequence number of this heartbeat; see :class:`Presence`.
+    :param heard_sequence: sequence number of the last heartbeat of the receiver; see
+        :class:`Presence`.
     """
 
     sequence: Count
+    heard_sequence: Count
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
@@ -99,7 +105,8 @@
         string) of each open task.
     :param resumed: whether an earlier owner may have started tasks of this work item.
     :param unheard_ms: time since the sender last received a heartbeat from any earlier owner, in
-        milliseconds; 0 if there is none.
+        milliseconds; 0 if there is none. An earlier owner grants no lease for the tasks of the
+        sender that a successor would not wait for.
     :param other_servers: whether an earlier owner may have started tasks on servers that do not
         belong to this shard.
     :param more_offers: whether the sender offers the work item to another shard if this one
--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -368,6 +368,7 @@
             ids = types.SimpleNamespace(token_hex=self._token_hex)
             for target, value in (
                 ("redwingport_dispatch.process.time", clock),
+                ("redwingport_dispatch.process.boot_time", lambda: self.world.now),
                 ("redwingport_dispatch.watchers.time", clock),
                 ("redwingport_dispatch.process.secrets", ids),
                 (
@@ -474,7 +475,22 @@
         """Stop a process for some seconds."""
         node = entry.node
         node.frozen = True
-        self.world.call_later(duration_s, lambda: setattr(node, "frozen", False))
+        frozen_loop = node.loop
+
+        def wake() -> None:
+            node.frozen = False
+            if node.loop is not None and node.loop is frozen_loop:
+                node.loop.run_timers_first()
+
+        self.world.call_later(duration_s, wake)
+
+    def suspend(self, entry: Entry, duration_s: float) -> None:
+        """Freeze a process for some seconds that its monotonic clock does not count."""
+        loop = entry.node.loop
+        self.freeze(entry, duration_s)
+        if loop is not None:
+            suspended_s = loop.suspended_s + duration_s
+            self.world.call_later(duration_s, lambda: setattr(loop, "suspended_s", suspended_s))
 
     def drain(self, entry: Entry) -> None:
         """Start the graceful shutdown of a process."""
