Let a process that wakes hear its peers before it judges them

What callers may see: jobs that are given up although nothing has failed.

Cause: after a pause of the process, the election may run before the messages that wait in the sockets are read. It then takes every peer for silent since before the pause: peer-lost, their connections are closed with what they have sent, and an owner stops the jobs of all holders.

Change: a process notes every 0.1 s that it runs. After 0.3 s without that, each peer that was live before gets another 0.1 s to be heard, once until its next heartbeat, so that a peer that has ended is noticed by a process that pauses again and again. New log event process-paused.

Tests: test_process_that_wakes_hears_the_others_before_it_judges_them failed in 3 of 16 cases before (peer-lost; without its check for the new event); the unit tests of extend_timeouts are new.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -377,6 +377,12 @@
     LogEvent("peer-link-lost", _P, "the outgoing link to a process broke", ("peer", "reason")),
     LogEvent("peer-link-ended", _P, "the incoming link from a process broke", ("peer", "reason")),
     LogEvent("peer-lost", _P, "a process has become unreachable", ("peer",)),
+    LogEvent(
+        "process-paused",
+        _P,
+        "this process did not run for a while; peers get time to be heard",
+        ("for_s",),
+    ),
     LogEvent(
         "peer-queue-full",
         _P,
--- a/packages/dispatch/src/redwingport_dispatch/ownership/election.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/election.py
@@ -41,6 +41,8 @@
 TAKEOVER_STAGGER_S = 0.35
 # Upper limit of the remaining liveness timeout of a peer whose address refuses connections.
 REFUSED_GRACE_S = 0.1
+# Time in which a process that was paused reads the heartbeats that have arrived meanwhile.
+RESUME_GRACE_S = 0.1
 # A peer that was silent this long is no longer counted as part of the system.
 PEER_RETENTION_S = 30.0
 
@@ -55,6 +57,8 @@
     :param heard_sequence: highest sequence number of a heartbeat of this process that the peer is
         known to have received.
     :param times_out_at: monotonic time from which it is considered unreachable, in seconds.
+    :param was_extended: whether that time was extended since its last heartbeat, because this
+        process had been paused.
     """
 
     presence: Presence
@@ -62,6 +66,7 @@
     sequence: int
     heard_sequence: int
     times_out_at: float
+    was_extended: bool = False
 
     def is_live(self, now: float) -> bool:
         """Return whether the last heartbeat is younger than the liveness timeout."""
@@ -142,6 +147,7 @@
             return False
         view.received_at = now
         view.times_out_at = now + _liveness_timeout_s(presence)
+        view.was_extended = False
         view.sequence = max(view.sequence, heartbeat.sequence)
         view.heard_sequence = max(view.heard_sequence, heartbeat.heard_sequence)
         return True
@@ -200,6 +206,20 @@
         if view is not None:
             view.times_out_at = min(view.times_out_at, now + REFUSED_GRACE_S)
 
+    def extend_timeouts(self, paused_at: float, now: float) -> None:
+        """Give peers time to be heard after this process was paused.
+
+        Their heartbeats wait to be read, so that their silence says nothing. A peer is given that
+        time once, so that one that has ended is noticed by a process that is paused again.
+
+        :param paused_at: monotonic time before the pause, in seconds.
+        :param now: monotonic time after it, in seconds.
+        """
+        for view in self.peer_by_incarnation.values():
+            if view.is_live(paused_at) and not view.was_extended:
+                view.times_out_at = max(view.times_out_at, now + RESUME_GRACE_S)
+                view.was_extended = True
+
     def receives_heartbeats_from(self, incarnation: str, now: float) -> bool:
         """Tell whether the last heartbeat of a peer is younger than its liveness timeout."""
         view = self.peer_by_incarnation.get(incarnation)
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -65,6 +65,10 @@
 # within these limits.
 MIN_ELECTION_WAIT_S = 0.02
 MAX_ELECTION_WAIT_S = 0.5
+# Interval at which a process that is not paused notes the time, and the shortest interval that
+# counts as a pause.
+PAUSE_CHECK_INTERVAL_S = 0.1
+MIN_PAUSE_S = 0.3
 # Minimum duration of a drain: the platform checks readiness once a second and removes a process
 # from rotation after two failed checks.
 MIN_DRAIN_S = 2.3
@@ -137,6 +141,7 @@
         self._reachable_peers: set[str] = set()
         self._isolated_since = current_time()
         self._timeout_changed = anyio.Event()
+        self._awake_at = current_time()
         self._owner_by_shard: dict[int, Owner] = {}
         self._crash_log = CrashLog(self._announce_crashes, self._announce_retraction)
         self._drain_started = anyio.Event()
@@ -228,6 +233,7 @@
         self._supervisor.start("servers", self._servers.run)
         self._supervisor.start("shards", self._layout_watcher.run)
         self._supervisor.start("vms", self._directory.run)
+        self._supervisor.start("pauses", self._watch_pauses)
         self._supervisor.start("election", self._watch_election)
         self._supervisor.start("holder", self.holder.watch)
         await self._drain_started.wait()
@@ -322,8 +328,22 @@
         self._mesh.announce()
         self._update_owners()
 
+    async def _watch_pauses(self) -> None:
+        while True:
+            self._note_awake()
+            await anyio.sleep(PAUSE_CHECK_INTERVAL_S)
+
+    def _note_awake(self) -> None:
+        """Let peers be heard before they are judged, if this process was paused until now."""
+        now = current_time()
+        paused_at, self._awake_at = self._awake_at, now
+        if now - paused_at >= MIN_PAUSE_S:
+            log_event(logger, logging.WARNING, "process-paused", for_s=round(now - paused_at, 3))
+            self._election.extend_timeouts(paused_at, now)
+
     def _update_owners(self) -> None:
         """Determine the owners of the shards, and apply changes."""
+        self._note_awake()
         now = current_time()
         self._crash_log.prune(now)
         reachable = {peer.incarnation for peer in self._election.reachable_peers(now)}
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -225,3 +225,31 @@
         cluster.cut_pairs([owner.node.name], used, 6.0)
         cluster.world.run(10.0)
     check(cluster)
+
+
+# Guards against jobs that are given up, and owners that are replaced, by a process that wakes and
+# takes all others for lost because it has not read their heartbeats yet.
+@pytest.mark.parametrize("seed", range(1, 9))
+@pytest.mark.parametrize("is_owner", [True, False])
+def test_process_that_wakes_hears_the_others_before_it_judges_them(
+    seed: int, is_owner: bool
+) -> None:
+    cluster = Cluster(seed, TINY, servers=6, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner, holder, others = owner_and_holder(cluster)
+        for entry in cluster.entries:
+            cluster.submit(LASTING, entry.node.domain, entry)
+        cluster.world.run(1.0)
+        changed_before = [event for _, _, event, _ in cluster.events].count("owner-changed")
+        paused = owner if is_owner else others[0]
+        # Shorter than the liveness timeout of the others.
+        cluster.freeze(paused, 0.3 + 0.012 * seed)
+        cluster.world.run(1.5)
+        events = [(event, node) for _, node, event, _ in cluster.events]
+        assert ("process-paused", paused.node.name) in events
+        assert ("peer-lost", paused.node.name) not in events
+        assert not [node for event, node in events if event == "holder-dropped"]
+        assert [event for event, _ in events].count("owner-changed") == changed_before
+        cluster.world.run(9.0)
+    check(cluster)
+    assert set(cluster.statuses()) == {200}
--- a/packages/dispatch/tests/test_election.py
+++ b/packages/dispatch/tests/test_election.py
@@ -10,6 +10,7 @@
     HOLD_DOWN_S,
     LIVENESS_TIMEOUT_S,
     REFUSED_GRACE_S,
+    RESUME_GRACE_S,
     STARTUP_GRACE_S,
     TAKEOVER_STAGGER_S,
     Election,
@@ -394,6 +395,29 @@
     assert not election.is_reachable("a", now + REFUSED_GRACE_S)
 
 
+# Guards against taking all peers for lost after a pause, while their heartbeats wait to be read.
+def test_peers_are_given_time_to_be_heard_after_a_pause() -> None:
+    election, now = started_election()
+    election.observe(presence("a"), now)
+    awake_at = now + 3.0
+    election.extend_timeouts(now + 0.1, awake_at)
+    assert election.is_reachable("a", awake_at + RESUME_GRACE_S / 2)
+    assert not election.is_reachable("a", awake_at + RESUME_GRACE_S)
+
+
+# Guards against a peer that has ended and never times out at a process that is paused repeatedly.
+def test_peer_is_given_that_time_once() -> None:
+    election, now = started_election()
+    election.observe(presence("gone"), now)
+    for number in range(5):
+        paused_at = now + 0.05 + 0.4 * number
+        election.extend_timeouts(paused_at, paused_at + 0.4)
+    assert not election.is_reachable("gone", now + 0.05 + 0.4 * 5)
+    election.observe(presence("timed-out"), now)
+    election.extend_timeouts(now + LIVENESS_TIMEOUT_S, now + 2.0)
+    assert not election.is_reachable("timed-out", now + 2.0)
+
+
 def test_confirmed_heartbeats_are_those_of_the_highest_number() -> None:
     election, now = started_election()
     assert election.heard_sequence("a") == 0
