Mix faults with tasks that outlast leases in the simulated cluster

The usual mixes have tasks of at most 1.6 s and time limits of 1.55 or 4 s, which are over before a wrongly forgotten run shows. These have tasks of 5 s and a time limit of 10 s, and further faults: entries that lapse or change their address, suspended VMs, and freezes while servers are cut off. The seeds of the usual mixes keep their courses of events.

--- a/packages/dispatch/tests/test_cluster_faults.py
+++ b/packages/dispatch/tests/test_cluster_faults.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from redwingport_testbed.simulation.cluster import MEDIUM, SHORT, TIMEOUT_S, Cluster
-from redwingport_testbed.simulation.faults import FaultMix
+from redwingport_testbed.simulation.cluster import LASTING, MEDIUM, SHORT, TIMEOUT_S, Cluster
+from redwingport_testbed.simulation.faults import FAULTS_OF_LASTING_TASKS, FaultMix
 
 SEEDS_VARIABLE = "REDWINGPORT_SIMULATION_SEEDS"
 FIRST_SEED, END_SEED = map(int, os.environ.get(SEEDS_VARIABLE, "1:5").split(":"))
@@ -24,6 +24,7 @@
 FAULTY_S = 5.0
 # The longer one lets a resumed task wait for the end of earlier leases.
 TIMEOUTS_S = (TIMEOUT_S, 4.0)
+LASTING_TIMEOUT_S = 10.0
 MAX_FAULT_S = 3.0
 RECOVERY_S = 2.0
 PROBE_S = 2.0
@@ -55,3 +56,21 @@
     unserved = [attempt.job_id for attempt in probes if attempt.status != 200]
     assert probes
     assert not unserved, cluster.explain(unserved[0])
+
+
+# Guards against second runs that short tasks are over too early to show: of servers that left the
+# list, and of owners that went on after a pause.
+@pytest.mark.parametrize("seed", range(FIRST_SEED, END_SEED))
+def test_mix_of_faults_has_no_second_runs_of_lasting_tasks(seed: int) -> None:
+    choices = random.Random(f"lasting mix {seed}")
+    entries, servers, shards = choices.choice(SYSTEMS)
+    cluster = Cluster(seed, entries, servers, shards, timeout_s=LASTING_TIMEOUT_S)
+    with cluster.running():
+        jobs_per_s = choices.choice([0.2, 0.4, 0.8]) * servers
+        cluster.load(jobs_per_s, FAULTY_S, kinds=(SHORT, MEDIUM, LASTING))
+        mix = FaultMix(cluster, seed, FAULTS_OF_LASTING_TASKS)
+        mix.schedule(choices.choice([1, 2, 4, 8]), FAULTY_S)
+        cluster.world.run(FAULTY_S + MAX_FAULT_S + LASTING_TIMEOUT_S)
+    failure = cluster.failure()
+    if failure:
+        pytest.fail(failure, pytrace=False)
--- a/packages/testbed/src/redwingport_testbed/simulation/faults.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/faults.py
@@ -18,15 +18,19 @@
 
     :param cluster: the cluster.
     :param seed: seed of all choices.
+    :param faults: faults to choose from; None for :data:`FAULTS`.
     """
 
-    def __init__(self, cluster: Cluster, seed: int) -> None:
+    def __init__(
+        self, cluster: Cluster, seed: int, faults: "Sequence[Fault] | None" = None
+    ) -> None:
         self._cluster = cluster
         self._random = random.Random(f"faults {seed}")
+        self._faults = FAULTS if faults is None else faults
 
     def schedule(self, count: int, duration_s: float) -> None:
         """Inject a number of faults at random times of the next seconds."""
-        chosen = self._random.sample(FAULTS, min(len(FAULTS), 4))
+        chosen = self._random.sample(self._faults, min(len(self._faults), 4))
         for _ in range(count):
             fault = self._random.choice(chosen)
             self._cluster.world.call_later(
@@ -187,6 +191,35 @@
         """Break connections of clients without notice."""
         return str(self._cluster.lose_clients(self._random.uniform(0.1, 1.0)))
 
+    def unlist_servers(self) -> str:
+        """Let the entries of some servers lapse, while the servers work on."""
+        server_ids = [self._server() for _ in range(self._random.randint(1, 4))]
+        for server_id in server_ids:
+            self._cluster.unlist_server(server_id, self._random.uniform(0.5, 6.0))
+        return str(server_ids)
+
+    def move_server(self) -> str:
+        """Change the address of a server."""
+        server_id = self._server()
+        if server_id in self._cluster.store.listing_by_id:
+            self._cluster.move_server(server_id)
+        return server_id
+
+    def suspend(self) -> str:
+        """Suspend the VM of a process for some time."""
+        entry = self._entry()
+        self._cluster.suspend(entry, self._duration_s())
+        return entry.node.name
+
+    def freeze_behind_cut(self) -> str:
+        """Freeze a process for some time while servers are cut off for longer."""
+        entry, duration_s = self._entry(), self._random.uniform(0.4, 1.8)
+        server_ids = self._some(sorted(self._cluster.server_by_id), 0.4)
+        for server_id in server_ids:
+            self._cluster.cut_server(server_id, duration_s + self._random.uniform(0.0, 1.0))
+        self._cluster.freeze(entry, duration_s)
+        return f"{entry.node.name} {server_ids}"
+
     def burst(self) -> str:
         """Send more jobs for a while."""
         jobs_per_s = self._random.choice([40.0, 80.0])
@@ -218,3 +251,14 @@
     FaultMix.lose_clients,
     FaultMix.burst,
 )
+
+# The same, and those that tell only with tasks that outlast leases and grace periods.
+FAULTS_OF_LASTING_TASKS: tuple[Fault, ...] = (
+    *FAULTS,
+    FaultMix.unlist_servers,
+    FaultMix.unlist_servers,
+    FaultMix.move_server,
+    FaultMix.suspend,
+    FaultMix.freeze_behind_cut,
+    FaultMix.freeze_behind_cut,
+)
