--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -421,9 +421,9 @@
     def _lease_limit_at(self, holder: str) -> float:
         """Return the time beyond which no lease for the tasks of a holder may extend.
 
-        It follows the sending of the last heartbeat that the holder has confirmed. A holder that
-        turns to another owner tells it for how long it has received no heartbeat of this one,
-        which is at most the time since then, whatever was delayed or paused.
+        It counts from the sending of the last heartbeat that the holder has confirmed. The next
+        owner counts from the time at which the holder received its last heartbeat of this one,
+        which is later, whatever was delayed or paused meanwhile.
 
         :returns: monotonic time in seconds; infinite for this process, which knows when it is no
             longer the owner.
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -133,7 +133,7 @@
     def add_unlisted_server(self, listing: ServerListing, now: float) -> None:
         """Add a server that has left the list, on which an earlier owner may have runs.
 
-        It is gone once it has no runs, and its earlier leases have ended unless it answers.
+        It is kept until the leases of that owner have ended, and until it has no runs.
         """
         server = self.set_server(listing)
         server.gone_at = now + self._longest_lease_s()
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -58,7 +58,7 @@
     """Since this owner took over, the holders have had time to submit their work items to it, and
     none of these names a run of the task."""
     START_REJECTED = "start-rejected"
-    """Its server has rejected the start order."""
+    """Its server has rejected the start order, or the order was not sent."""
     NOT_LISTED = "not-listed"
     """Its server no longer lists it."""
     SERVER_RESTARTED = "server-restarted"
