--- a/packages/dispatch/tests/test_cluster_servers.py
+++ b/packages/dispatch/tests/test_cluster_servers.py
@@ -1,5 +1,8 @@
 """Servers whose entries lapse, return or change while tasks run there."""
 
+import functools
+from dataclasses import replace
+
 import pytest
 
 from redwingport_testbed.simulation.cluster import LASTING, Cluster, Entry
@@ -104,6 +107,20 @@
     assert cluster.statuses() == {200: 3}
 
 
+# Guards against forgetting the runs of a server whose entry names another service for a while.
+def test_task_runs_on_while_the_entry_of_its_server_names_another_service() -> None:
+    cluster = start_cluster(1)
+    with cluster.running():
+        for server_id in submit_lasting(cluster):
+            entry = cluster.store.listing_by_id[server_id]
+            cluster.store.put(replace(entry, service="other"))
+            cluster.world.call_later(3.0, functools.partial(cluster.store.put, entry))
+        cluster.world.run(10.0)
+    check(cluster)
+    assert cluster.monitor.starts == 3
+    assert cluster.statuses() == {200: 3}
+
+
 # Guards against a start order that is forgotten because the address of its server changes before
 # the answer: the task may have started.
 @pytest.mark.parametrize("seed", range(1, 9))
