Let a suspended VM of the simulated cluster wake with its clock

The clock was set back after the timers had run, so that a suspension was a freeze followed by a jump.

--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -487,10 +487,11 @@
     def suspend(self, entry: Entry, duration_s: float) -> None:
         """Freeze a process for some seconds that its monotonic clock does not count."""
         loop = entry.node.loop
-        self.freeze(entry, duration_s)
         if loop is not None:
+            # Before the process wakes, so that no timer is due because of the suspension.
             suspended_s = loop.suspended_s + duration_s
             self.world.call_later(duration_s, lambda: setattr(loop, "suspended_s", suspended_s))
+        self.freeze(entry, duration_s)
 
     def drain(self, entry: Entry) -> None:
         """Start the graceful shutdown of a process."""
