Take the ports of the link tests from outside the range of outgoing connections

The ports were free ones of the range that the system assigns to outgoing connections (32768 to 60999), chosen before any process listens; the first links are opened before the last process listens, and one of them, or another program, can get its port. Nothing that the tests check has changed.

--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -1,6 +1,8 @@
 """Links between processes under load."""
 
+import contextlib
 import itertools
+import random
 import socket
 import time
 
@@ -25,9 +27,15 @@
 
 
 def free_address() -> str:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return an unused address whose port the system assigns to no outgoing connection.
+
+    Otherwise a link that is opened before the process listens could get that port.
+    """
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as listener, contextlib.suppress(OSError):
+            listener.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 class Process:
