--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -285,7 +285,10 @@
         ("server", "answers", *OWNER_FIELDS),
     ),
     LogEvent(
-        "server-dropped", _O, "a server is no longer used", ("server", "reason", *OWNER_FIELDS)
+        "server-dropped",
+        _O,
+        "a server that left the list has no runs any more, and is no longer used",
+        ("server", "reason", *OWNER_FIELDS),
     ),
     LogEvent(
         "server-moved",
