Review: case 8 resets the channels of one machine only

The relay knows which process opened a channel, so that only half of the channels of one machine are reset, as the limit of reset_conns says.

--- a/review/standins-2/relay.py
+++ b/review/standins-2/relay.py
@@ -19,9 +19,12 @@
         self.port = free_port()
         self._server: asyncio.Server | None = None
         self._pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        # The process that opened a channel; it says its address first.
+        self._opener_by_pair: dict[tuple[asyncio.StreamWriter, asyncio.StreamWriter], Node] = {}
+        self._relays: list[Relay] = []
 
     async def start(self, relays: list["Relay"]) -> None:
+        self._relays = relays
         self._names = [(f"{HOST}:{r.node.ports['peers']}".encode(), f"{HOST}:{r.port}".encode())
                        for r in relays]
         assert all(len(real) == len(shown) for real, shown in self._names)
@@ -32,9 +35,13 @@
             self._server.close()
         self.reset()
 
-    def reset(self) -> int:
-        """Reset all channels that go through the relay now; return their number."""
-        pairs, self._pairs = self._pairs, set()
+    def reset(self, opener: Node | None = None) -> int:
+        """Reset the channels through the relay, or those that a process has opened.
+
+        :returns: their number.
+        """
+        pairs = {p for p in self._pairs if opener in (None, self._opener_by_pair.get(p))}
+        self._pairs -= pairs
         for pair in pairs:
             for writer in pair:
                 sock = writer.get_extra_info("socket")
@@ -59,15 +66,27 @@
         pair = (writer, to_writer)
         self._pairs.add(pair)
         try:
-            await asyncio.gather(self._copy(reader, to_writer), self._copy(to_reader, writer))
+            await asyncio.gather(
+                self._copy(reader, to_writer, pair), self._copy(to_reader, writer, pair)
+            )
         except asyncio.CancelledError:
             # The script ends.
             pass
         self._pairs.discard(pair)
-
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._opener_by_pair.pop(pair, None)
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: tuple[asyncio.StreamWriter, asyncio.StreamWriter],
+    ) -> None:
         try:
             while data := await reader.read(65536):
+                if pair not in self._opener_by_pair:
+                    for relay, (real, _) in zip(self._relays, self._names, strict=True):
+                        if real in data:
+                            self._opener_by_pair[pair] = relay.node
                 writer.write(self.show(data))
                 await writer.drain()
         except (OSError, asyncio.CancelledError):
