Review: case 6, a task runs on two executors at once

Half of the channels of one machine are reset: those of its clients and the one to an owner. The cancel of the first submission is lost, the other owner forgets that it passed the job on, and the job that the client sends again starts beside the first run.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -13,6 +13,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -581,7 +582,10 @@
 async def request(
     port: int, method: str, path: str, body: Any = None, limit_ms: int = 1500
 ) -> Answer:
-    """Send one request on a channel of its own; status 0 for a broken channel or no response."""
+    """Send one request on a channel of its own; status 0 for a broken channel or no response.
+
+    Cancelling it resets the channel.
+    """
     data = json.dumps(body).encode() if body is not None else b""
     writer = None
     try:
@@ -601,6 +605,12 @@
             return int(first.split()[1]), json.loads(content or b"{}")
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return 0, {}
+    except asyncio.CancelledError:
+        if writer is not None:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        raise
     finally:
         if writer is not None:
             writer.close()
