Let seeds of the simulated cluster repeat their courses of events

Cause: several passes went over sets, whose order depends on addresses of objects or on the hash seed of the interpreter: blocked work items, lost peers, the peers to which crashes are announced, earlier owners, and the exchanges that a crashing server of the simulation closes. A seed that failed in one run passed in the next, and work items that waited for a new owner were unblocked in no particular order.

Change: the blocked work items are kept by key in order of arrival, and the other sets are sorted or replaced by dictionaries.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -548,7 +548,7 @@
 
     def _release(self, work: _HeldWork, owner: str) -> None:
         """Tell an earlier owner of a work item, if it is one, that another owner has it now."""
-        for earlier, term in list(work.earlier_owners):
+        for earlier, term in sorted(work.earlier_owners):
             if earlier == owner:
                 self._send(owner, ReleaseWork(work.work_id, term))
 
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -349,7 +349,7 @@
         reachable = {peer.incarnation for peer in self._election.reachable_peers(now)}
         lost = self._reachable_peers - reachable
         self._reachable_peers = reachable
-        for incarnation in lost:
+        for incarnation in sorted(lost):
             log_event(logger, logging.WARNING, "peer-lost", peer=incarnation)
             self._mesh.drop_incoming(incarnation)
             self._drop_holder(incarnation, self._election.unheard_s(incarnation, now))
@@ -640,7 +640,7 @@
             self._send_to_peers(_encode_crashes(new, new_retractions), except_for=sender)
 
     def _send_to_peers(self, message: Frame, except_for: str = "") -> None:
-        for incarnation in self._reachable_peers - {except_for}:
+        for incarnation in sorted(self._reachable_peers - {except_for}):
             self._mesh.send(incarnation, message)
 
     # The store
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -107,7 +107,8 @@
         self._on_dispatch_due = on_dispatch_due
         self._ejector = Ejector(failures_in_a_row=FAILURES_IN_A_ROW)
         self._server_finder = ServerFinder(self._ejector, bounds.far_factor)
-        self._blocked: set[Work] = set()
+        # In order of arrival, which decides who is served first.
+        self._blocked_by_key: dict[WorkKey, Work] = {}
         self._history = History()
         self._crash_log = crash_log if crash_log is not None else CrashLog()
         self._crash_log_revision = 0
@@ -257,7 +258,7 @@
             # A run of an earlier submission exists, however long ago it started.
             work.ever_started = True
         if any(t.state is TaskState.BLOCKED for t in work.task_by_index.values()):
-            self._blocked.add(work)
+            self._blocked_by_key[work.key] = work
         if work.is_done():
             self._finish(work, now)
             return
@@ -360,7 +361,7 @@
         task.state = TaskState.BLOCKED
         last_server, last_number = task.last_run
         task.blocked_on = last_server if last_number > run.number else run.server_id
-        self._blocked.add(work)
+        self._blocked_by_key[work.key] = work
         if not run.identity:
             # It uses the resources of its own task, of which no more than the name is known.
             self.server_by_id[run.server_id].set_run_shape(run, work.shape)
@@ -402,7 +403,7 @@
         for task in work.queued_tasks():
             task.state = TaskState.BLOCKED
             task.blocked_on = ""
-            self._blocked.add(work)
+            self._blocked_by_key[work.key] = work
         self.queue.remove(work)
 
     def _refuse_namesake(self, work: Work, kept: Work, now: float) -> None:
@@ -480,13 +481,12 @@
 
     def _forget_work(self, work: Work) -> None:
         self.work_by_key.pop(work.key, None)
-        if work in self._blocked:
+        if self._blocked_by_key.pop(work.key, None) is not None:
             self._history.note_blocked(work)
         reserved = self._reserved_by_work.pop(work.key, None)
         if reserved is not None:
             reserved.is_reserved = False
         self.queue.remove(work)
-        self._blocked.discard(work)
 
     def _longest_lease_s(self) -> float:
         return max_local_duration_s(self._bounds.lease_s)
@@ -938,7 +938,7 @@
             lost.clear()
         is_alone = is_certain and len(lost) == 1
         # Runs that an earlier owner has ordered and that nothing is known of but their server.
-        for work in self._blocked:
+        for work in self._blocked_by_key.values():
             for task in work.tasks():
                 if task.state is TaskState.BLOCKED and task.blocked_on == server_id:
                     name = work.task_name(task.index)
@@ -1059,7 +1059,7 @@
             task = work.task_by_index[run.index]
             task.state = TaskState.BLOCKED
             task.blocked_on = run.server_id
-            self._blocked.add(work)
+            self._blocked_by_key[work.key] = work
         self._stop_run(run, now)
 
     def _add_reported_run(
@@ -1298,7 +1298,7 @@
             for run in self._runs_of(task_name):
                 self._check_run(run, now)
         self._unblock_tasks(now)
-        self._review.review_blocked(list(self._blocked), now)
+        self._review.review_blocked(list(self._blocked_by_key.values()), now)
         self._review.review(self.queue, now)
         self._history.prune(now)
         self.dispatch(now)
@@ -1326,7 +1326,7 @@
             self._effects.stop_run(run)
 
     def _unblock_tasks(self, now: float) -> None:
-        for work in list(self._blocked):
+        for work in list(self._blocked_by_key.values()):
             for task in work.task_by_index.values():
                 if task.state is not TaskState.BLOCKED:
                     continue
@@ -1336,7 +1336,7 @@
                     task.after = over
                     self.queue.add(work)
             if all(t.state is not TaskState.BLOCKED for t in work.task_by_index.values()):
-                self._blocked.discard(work)
+                self._blocked_by_key.pop(work.key, None)
                 if not work.resumed and work.queued_tasks():
                     # It arrived before the holders of an earlier owner were heard.
                     self._review.refuse_on_arrival(work, self.queue, now)
--- a/packages/testbed/src/redwingport_testbed/simulation/world.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/world.py
@@ -475,7 +475,8 @@
         self.late_share = 0.0
         self.cpu_millis = cpu_millis
         self.closes_connections = False
-        self.open_exchanges: set[Callback] = set()
+        # Closers of the exchanges that are open, as keys in order of opening.
+        self.open_exchanges: dict[Callback, None] = {}
         self.on_start: Callable[[ModelServer, str, str], None] | None = None
         self.slowness = 1.0
         self._world = world
@@ -511,7 +512,7 @@
         self.node.lifetime += 1
         self.closes_connections = closes_connections
         if closes_connections:
-            closed, self.open_exchanges = self.open_exchanges, set()
+            closed, self.open_exchanges = self.open_exchanges, {}
             for close in closed:
                 close()
 
@@ -740,7 +741,7 @@
                 closed = _failed(step, OrderFailure.NO_ANSWER)
                 world.call_later(world.delay_s(target, source), lambda: deliver(closed))
 
-        self._server.open_exchanges.add(close)
+        self._server.open_exchanges[close] = None
         try:
             self._transmit(arrive)
             with anyio.CancelScope(deadline=deadline):
@@ -750,7 +751,7 @@
                 return result
             return _failed(step, OrderFailure.NO_ANSWER)
         finally:
-            self._server.open_exchanges.discard(close)
+            self._server.open_exchanges.pop(close, None)
 
     def _transmit(self, arrive: Callback) -> None:
         world, source, target = self._world, self._process, self._server.node
