Handle messages of a process to itself after the call that sends them

Cause: a new owner unblocks work items in a loop over a copy. A refusal inside it reached the holder of the same process within the call; the holder ended the job and cancelled its other step in the scheduler that was in the middle of the loop. The loop went on to that step, set its tasks to queued and put the dropped work item back into the queue, from which it was started.

Change: messages between the holder and the owners of a process are queued and handled one at a time after the call (loopback.py), as those over a link. An owner delivers what is queued before each pass that starts tasks, and tick leaves the starting to that pass, so that no task starts between a refusal and its handling.

Related paths: QueueReview.review and review_blocked, _give_up_guilty, drop_holder, _displace_older, refuse_on_arrival in submit and dispatch change no work item but their own now. The state machine test of the scheduler has jobs of two steps whose holder cancels one when the other is refused; with answers handled within the call (trial) it fails with a start of a dropped work item, with the queue it passes. Holder keeps its care for answers within a call, which its tests ask for.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -296,7 +296,7 @@
         if deadline_at <= job.deadline_at:
             return
         job.deadline_at = deadline_at
-        # An owner in this process may report the end of a step within the call, which adds others.
+        # An answer within the call may report the end of a step, which adds others.
         for work in list(job.work_by_step.values()):
             if work.work_id in self._work_by_id and work.submitted_to[0]:
                 self._submit(work)
@@ -469,7 +469,7 @@
     def _submit_ready_steps(self, job: Job) -> None:
         for number, step in enumerate(job.request.steps):
             if job.end is not None:
-                # An owner in this process has refused one of the steps.
+                # One of the steps was refused within the call that has submitted it.
                 return
             if number in job.work_by_step:
                 continue
@@ -525,7 +525,7 @@
             refused_for_load=work.refused_for_load,
             identity=job.identity,
         )
-        # Set before sending, because an owner in this process answers within the call.
+        # Set before sending, for an answer within the call.
         before, work.submitted_to = work.submitted_to, (shard_owner.owner, shard_owner.term)
         former_shard, work.submitted_shard = work.submitted_shard, shard
         counts = work.offers, work.handovers
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -56,7 +56,9 @@
         earlier owner, in seconds.
     :param may_contest: tells whether this owner may raise its token above that of another owner.
     :param note_token: called with each raised token.
-    :param send_notification: sends a notification to a holder.
+    :param send_notification: sends a notification to a holder, which handles it later.
+    :param deliver_local: delivers the messages between this process's holder and its owners that
+        are still queued.
     :param metrics: metrics of the process.
     :param crash_log: crashes of servers that the process knows of; None for an empty log.
     :param lease_limit_at: returns the monotonic time beyond which no lease for the tasks of a
@@ -75,6 +77,7 @@
         may_contest: Callable[[], bool],
         note_token: Callable[[int], None],
         send_notification: Callable[[str, Notification], None],
+        deliver_local: Callable[[], None],
         metrics: Metrics,
         crash_log: CrashLog | None = None,
         lease_limit_at: Callable[[str], float] | None = None,
@@ -100,6 +103,7 @@
         self._may_contest = may_contest
         self._note_token = note_token
         self._send_notification = send_notification
+        self._deliver_local = deliver_local
         self._metrics = metrics
         self._session_by_server: dict[str, ServerSession] = {}
         self._cancel_scope_by_server: dict[str, anyio.CancelScope] = {}
@@ -361,6 +365,9 @@
             self._has_work.clear()
             if self._dispatch_due:
                 self._dispatch_due = False
+                # The holder in this process may be about to cancel work items, for example the
+                # other steps of a job that was refused.
+                self._deliver_local()
                 started_at = current_time()
                 self.scheduler.dispatch(started_at)
                 self._flush_task_events()
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -23,6 +23,7 @@
     ShardLayout,
     VmRecord,
 )
+from redwingport_dispatch.loopback import Loopback
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.ownership.election import Election, ShardOwner
@@ -145,6 +146,9 @@
         self._owner_by_shard: dict[int, Owner] = {}
         self._crash_log = CrashLog(self._announce_crashes, self._announce_retraction)
         self._drain_started = anyio.Event()
+        self._loopback = Loopback[Frame](
+            lambda message: self._handle_message(self.incarnation, message)
+        )
         self.holder = Holder(
             self.incarnation,
             self._send_to_owner,
@@ -228,6 +232,7 @@
         ]
         for name, server in zip(("front", "ready", "metrics"), servers, strict=True):
             self._supervisor.start(name, server.serve)
+        self._supervisor.start("loopback", self._loopback.run)
         self._supervisor.start("peers", self._mesh.run)
         self._supervisor.start("configuration", self._configuration.run)
         self._supervisor.start("servers", self._servers.run)
@@ -407,6 +412,7 @@
             lambda: self._election.reaches_majority(current_time()),
             self._election.note_token,
             self._send_notification,
+            self._loopback.deliver,
             self.metrics,
             self._crash_log,
             self._lease_limit_at,
@@ -590,13 +596,12 @@
     def _send_to_owner(self, owner: str, message: OwnerMessage) -> bool:
         if owner != self.incarnation:
             return self._mesh.send(owner, message)
-        owns = not isinstance(message, SubmitWork) or message.shard in self._owner_by_shard
-        self._handle_work(self.incarnation, message)
-        return owns
+        self._loopback.send(message)
+        return not isinstance(message, SubmitWork) or message.shard in self._owner_by_shard
 
     def _send_notification(self, holder: str, message: Notification) -> None:
         if holder == self.incarnation:
-            self.holder.handle_notification(self.incarnation, message)
+            self._loopback.send(message)
         elif not self._mesh.send(holder, message):
             # The holder resubmits its work items when a link is open.
             log_event(logger, logging.WARNING, "news-not-sent", holder=holder)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/effects.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/effects.py
@@ -8,7 +8,10 @@
 
 
 class Effects(Protocol):
-    """Carry out the scheduler's decisions; no method blocks."""
+    """Carry out the scheduler's decisions.
+
+    No method blocks, and none calls the scheduler: it may be in the middle of a pass.
+    """
 
     def start(self, run: Run, work: Work) -> None:
         """Send the order to start a run."""
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1285,7 +1285,7 @@
     # Time
 
     def tick(self, now: float) -> None:
-        """Do what is due: end runs, review the queue, and start tasks.
+        """Do what is due: end runs, review the queue, and have tasks started.
 
         Unclaimed runs are stopped, unanswered stop orders are sent again, and runs that have
         certainly ended are removed.
@@ -1301,7 +1301,7 @@
         self._review.review_blocked(list(self._blocked_by_key.values()), now)
         self._review.review(self.queue, now)
         self._history.prune(now)
-        self.dispatch(now)
+        self._request_dispatch(now)
 
     def _check_run(self, run: Run, now: float) -> None:
         server = self.server_by_id[run.server_id]
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -1,18 +1,28 @@
 """Owner at the start of its term, and the lines that it logs."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
 import pytest
-
-from redwingport_dispatch.interfaces import ServerClient, ServerListing, TaskShape
+from result import Ok, Result
+
+from redwingport_dispatch.exceptions import OrderError
+from redwingport_dispatch.interfaces import (
+    ServerClient,
+    ServerClientFactory,
+    ServerListing,
+    ServerReport,
+    StartOrder,
+    TaskShape,
+)
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.owner import Notification, Owner
 from redwingport_dispatch.scheduling.placement import Placement
 from redwingport_dispatch.scheduling.work import Run, RunOver, RunState, Task, Work
 from redwingport_dispatch.settings import Settings
-from redwingport_messages.dispatch import SubmitWork
+from redwingport_messages.dispatch import CancelWork, SubmitWork
 
 pytestmark = pytest.mark.anyio
 
@@ -65,13 +75,45 @@
         raise AssertionError("no session is opened before the owner runs")
 
 
-def make_owner(notifications: list[Notification], shard: int = 0) -> Owner:
+class IdleServer:
+    """Report an idle server once, and record the start orders; see :class:`ServerClient`."""
+
+    def __init__(self) -> None:
+        self.started: list[StartOrder] = []
+        self._has_reported = False
+
+    def open(self, listing: ServerListing) -> ServerClient:
+        return self
+
+    async def renew(self, *arguments: object) -> Result[ServerReport, OrderError]:
+        if self._has_reported:
+            await anyio.sleep_forever()
+        self._has_reported = True
+        return Ok(ServerReport(1))
+
+    async def start(self, order: StartOrder, deadline: float) -> Result[int, OrderError]:
+        self.started.append(order)
+        return Ok(1)
+
+    async def stop(self, *arguments: object) -> Result[int, OrderError]:
+        return Ok(1)
+
+    async def aclose(self) -> None:
+        pass
+
+
+def make_owner(
+    notifications: list[Notification],
+    shard: int = 0,
+    server_clients: ServerClientFactory | None = None,
+    deliver_local: Callable[[], None] = lambda: None,
+) -> Owner:
     """Create an owner of one server for its first term."""
     listing = ServerListing("s0", "desk", "127.0.0.1:1", "d", 16000, 65536, 0, ("a",), False)
     return Owner(
         shard,
         SETTINGS,
-        NoServerClients(),
+        server_clients or NoServerClients(),
         {"s0": listing},
         {},
         1,
@@ -79,6 +121,7 @@
         lambda: True,
         lambda token: None,
         lambda holder, message: notifications.append(message),
+        deliver_local,
         Metrics(),
     )
 
@@ -103,6 +146,27 @@
     assert list(work.task_by_index) == [0]
 
 
+# Guards against tasks of a refused job that start while its holder, in the same process, is about
+# to cancel them.
+@pytest.mark.parametrize("cancels", [False, True])
+async def test_queued_cancel_is_handled_before_tasks_start(cancels: bool) -> None:
+    server = IdleServer()
+
+    def deliver_local() -> None:
+        if cancels and owner.scheduler.work_by_key:
+            owner.cancel("holder", CancelWork(1))
+
+    owner = make_owner([], server_clients=server, deliver_local=deliver_local)
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(owner.run, {"s0": owner.scheduler.server_by_id["s0"].listing})
+        while not owner.scheduler.server_by_id["s0"].acquired:
+            await anyio.sleep(0.001)
+        owner.submit("holder", WORK)
+        await anyio.sleep(0.2)
+        owner.stop()
+    assert bool(server.started) is not cancels
+
+
 @pytest.mark.parametrize(
     ("number", "resumed", "earlier"),
     [
--- a/packages/dispatch/tests/test_scheduler_machine.py
+++ b/packages/dispatch/tests/test_scheduler_machine.py
@@ -17,6 +17,7 @@
     ServerReport,
     TaskShape,
 )
+from redwingport_dispatch.loopback import Loopback
 from redwingport_dispatch.scheduling.history import STARTED_JOB_TTL_S
 from redwingport_dispatch.scheduling.scheduler import Scheduler
 from redwingport_dispatch.scheduling.work import Run, Task, Work, WorkKey
@@ -25,28 +26,38 @@
 # Name of a task, number of a run, and identity of the job of the run.
 OwnedRun = tuple[str, int, str]
 LEASE_S = BOUNDS.lease_s
+# Time until which holders may submit the work items of an earlier owner.
+SETTLED_AT = 100.3
 
 
-@dataclass
+@dataclass(kw_only=True)
 class IdentifiedEffects(RecordedEffects):
     """Record for which jobs tasks were started, reported as done or refused.
 
     :param now: present time, in seconds.
     :param done_runs: runs that were reported to have completed their tasks.
     :param wrong_refusals: refused work items of jobs that had started, or that started later.
+    :param unknown_starts: work items of which a task was started after they were dropped.
+    :param loopback: delivers the refused and abandoned work items to their holder.
     """
 
+    loopback: Loopback[Work]
     now: float = 0.0
+    scheduler: Scheduler | None = None
+    unknown_starts: list[Work] = field(default_factory=list)
     done_runs: set[OwnedRun] = field(default_factory=set)
     wrong_refusals: list[Work] = field(default_factory=list)
-    _started_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    _started_at: dict[tuple[str, int, str], float] = field(default_factory=dict)
     _refused: set[WorkKey] = field(default_factory=set)
 
     def start(self, run: Run, work: Work) -> None:
         super().start(run, work)
-        self._started_at[work.job_id, work.identity] = self.now
+        self._started_at[work.job_id, work.step, work.identity] = self.now
         if work.key in self._refused:
             self.wrong_refusals.append(work)
+        assert self.scheduler is not None
+        if self.scheduler.work_by_key.get(work.key) is not work:
+            self.unknown_starts.append(work)
 
     def report_done(self, work: Work, task: Task, run_number: int, server_id: str) -> None:
         self.done_runs.add((work.task_name(task.index), run_number, work.identity))
@@ -55,9 +66,13 @@
         self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
     ) -> None:
         self._refused.add(work.key)
-        started_at = self._started_at.get((work.job_id, work.identity))
+        started_at = self._started_at.get((work.job_id, work.step, work.identity))
         if started_at is not None and self.now < started_at + STARTED_JOB_TTL_S:
             self.wrong_refusals.append(work)
+        self.loopback.send(work)
+
+    def abandon(self, work: Work) -> None:
+        self.loopback.send(work)
 
 
 @dataclass
@@ -111,14 +126,18 @@
 class SchedulerMachine(RuleBasedStateMachine):
     """Interleave submissions, cancellations, orders, reports, restarts and the passing of time.
 
-    Orders are delivered, lost or delayed.
+    Orders are delivered, lost or delayed. All holders are in the process of the scheduler: they
+    cancel the other steps of a job when one was refused or abandoned.
     """
 
     def __init__(self) -> None:
         super().__init__()
-        self.effects = IdentifiedEffects(now=100.0)
+        self.loopback = Loopback(self.end_job)
+        self.effects = IdentifiedEffects(loopback=self.loopback, now=100.0)
         self.done_runs: set[OwnedRun] = set()
-        self.scheduler = Scheduler(self.effects, BOUNDS)
+        self.dispatch_due = False
+        self.scheduler = Scheduler(self.effects, BOUNDS, SETTLED_AT, self.request_dispatch)
+        self.effects.scheduler = self.scheduler
         self.now = 100.0
         self.model_by_id = {name: ModelServer(name) for name in ("s0", "s1")}
         self.starts: list[tuple[Run, float]] = []
@@ -132,8 +151,26 @@
             self.scheduler.set_server(listing)
             self.report(name)
 
+    def request_dispatch(self) -> None:
+        self.dispatch_due = True
+
+    def end_job(self, ended: Work) -> None:
+        """End the job of a work item that was refused or abandoned."""
+        for work in self.works:
+            if (work.holder, work.job_id, work.identity) == (
+                ended.holder,
+                ended.job_id,
+                ended.identity,
+            ):
+                self.scheduler.cancel(work.key, self.now)
+
     def collect(self) -> None:
-        """Collect the start orders that the scheduler has sent."""
+        """Let the owner start tasks, and collect the start orders."""
+        self.loopback.deliver()
+        if self.dispatch_due:
+            self.dispatch_due = False
+            self.scheduler.dispatch(self.now)
+            self.loopback.deliver()
         self.starts += [(run, self.now) for run in self.effects.started]
         self.effects.started.clear()
 
@@ -142,21 +179,39 @@
         again=st.booleans(),
         holder=st.sampled_from("ab"),
         identity=st.sampled_from("xxy"),
+        step=st.sampled_from([0, 0, 1]),
     )
-    def submit(self, tasks: int, again: bool, holder: str, identity: str) -> None:
+    def submit(self, tasks: int, again: bool, holder: str, identity: str, step: int) -> None:
         if again and self.works:
             job_id = self.works[-1].job_id
         else:
             self.next_job += 1
             job_id = f"job{self.next_job}"
+        self.add_work(job_id, holder, identity, step, tasks)
+
+    @rule(holder=st.sampled_from("ab"), cpu_millis=st.permutations([7000, 2 * CPU_MILLIS]))
+    def submit_job_with_unfit_step(self, holder: str, cpu_millis: list[int]) -> None:
+        self.next_job += 1
+        for step, demand in enumerate(cpu_millis):
+            self.add_work(f"job{self.next_job}", holder, "x", step, 1, demand)
+
+    def add_work(
+        self,
+        job_id: str,
+        holder: str,
+        identity: str,
+        step: int,
+        tasks: int,
+        cpu_millis: int = 7000,
+    ) -> None:
         work = Work(
             holder=holder,
             work_id=len(self.works) + 1,
             job_id=job_id,
-            step=0,
+            step=step,
             service=SERVICE,
             spec="",
-            shape=TaskShape(7000, 64, 0, 0.2),
+            shape=TaskShape(cpu_millis, 64, 0, 0.2),
             priority=0,
             attempts=3,
             received_at=self.now,
@@ -207,6 +262,7 @@
             self.scheduler.handle_stopped(run, self.now)
         else:
             self.scheduler.handle_not_stopped(run, OrderFailure.NO_ANSWER, self.now)
+        self.collect()
 
     @rule(name=st.sampled_from(["s0", "s1"]))
     def report(self, name: str) -> None:
@@ -284,6 +340,12 @@
         running = [task for model in self.model_by_id.values() for task in model.running]
         assert len(running) == len(set(running))
 
+    # Guards against tasks of a refused job that start because its other steps were dropped in the
+    # middle of a pass over the work items.
+    @invariant()
+    def no_task_of_a_dropped_work_item_starts(self) -> None:
+        assert not self.effects.unknown_starts
+
     @invariant()
     def nothing_that_has_started_is_refused(self) -> None:
         assert not self.effects.wrong_refusals
--- a/packages/testbed/src/redwingport_testbed/shards/simulation.py
+++ b/packages/testbed/src/redwingport_testbed/shards/simulation.py
@@ -101,6 +101,7 @@
             may_contest=lambda: True,
             note_token=lambda token: None,
             send_notification=self._notify,
+            deliver_local=lambda: None,
             metrics=Metrics(),
         )
 
--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -66,20 +66,34 @@
 RECORDED_EVENTS = 200_000
 
 
+@dataclass(frozen=True)
+class StepKind:
+    """Describe one step of a kind of job.
+
+    :param after: numbers of the steps that must finish first.
+    :param cpu_millis: demand of each task, in thousandths of a core.
+    """
+
+    after: tuple[int, ...] = ()
+    cpu_millis: int = TASK_CPU_MILLIS
+
+
 @dataclass(frozen=True)
 class JobKind:
     """Describe a kind of job.
 
     :param name: its name.
-    :param tasks: number of tasks.
+    :param tasks: number of tasks of each step.
     :param estimate_s: declared run time of each, in seconds.
     :param factors: bounds of the actual over the declared run time.
+    :param steps: the steps, in order of their numbers.
     """
 
     name: str
     tasks: int
     estimate_s: float
     factors: tuple[float, float]
+    steps: tuple[StepKind, ...] = (StepKind(),)
 
 
 SHORT = JobKind("short", 8, 0.06, (0.7, 1.5))
@@ -90,6 +104,12 @@
 LASTING = JobKind("lasting", 1, 5.0, (0.9, 1.1))
 # Its first task ends the server that starts it.
 CRASHING = JobKind("crashing", 2, 0.1, (0.7, 1.5))
+# Two steps that run at the same time, and two that run one after the other.
+PAIR = JobKind("pair", 2, 0.2, (0.7, 1.5), (StepKind(), StepKind()))
+CHAIN = JobKind("chain", 2, 0.1, (0.7, 1.5), (StepKind(), StepKind(after=(0,))))
+# One of its steps fits on no server.
+UNFIT = JobKind("unfit", 1, 0.2, (0.7, 1.5), (StepKind(cpu_millis=64_000), StepKind()))
+OTHER_KINDS = (LASTING, CRASHING, PAIR, CHAIN, UNFIT)
 CRASH_AFTER_S = 0.012
 CRASH_DOWN_S = 3.3
 
@@ -211,8 +231,11 @@
         """Return the job of the kind named in a body; see :class:`JobFormat`."""
         spec = body.decode()
         kind = _kind_of(spec)
-        shape = TaskShape(TASK_CPU_MILLIS, 64, 0, kind.estimate_s)
-        return Ok(JobRequest(spec, (StepRequest(kind.tasks, shape),)))
+        steps = tuple(
+            StepRequest(kind.tasks, TaskShape(step.cpu_millis, 64, 0, kind.estimate_s), step.after)
+            for step in kind.steps
+        )
+        return Ok(JobRequest(spec, steps))
 
     def encode_state(self, state: JobState) -> bytes:
         """Return a state as text; see :class:`JobFormat`."""
@@ -903,7 +926,11 @@
 
     def _is_true(self, attempt: Attempt, body: bytes) -> bool:
         """Return whether a job has ended as its client is told; no run fails by itself."""
-        names = [f"{attempt.job_id}.0.0.{index}" for index in range(attempt.kind.tasks)]
+        names = [
+            f"{attempt.job_id}.0.{step}.{index}"
+            for step in range(len(attempt.kind.steps))
+            for index in range(attempt.kind.tasks)
+        ]
         if body == JobState.FAILED.encode():
             return any(self.crashes_by_task.get(name, 0) > 1 for name in names)
         done = all((name, attempt.spec) in self.monitor.done_tasks for name in names)
@@ -1007,9 +1034,8 @@
 
 
 def _kind_of(spec: str) -> JobKind:
-    return next(
-        kind for kind in (*KINDS, LASTING, CRASHING) if kind.name == spec.partition(" ")[0]
-    )
+    name = spec.partition(" ")[0]
+    return next(kind for kind in (*KINDS, *OTHER_KINDS) if kind.name == name)
 
 
 def _running_node() -> Node:
