Send a cancelled job to the shard that runs it until its runs have ended

Its client's channel was reset, and the client sent the job again 1.3 s later through another process.

Cause: a shard that has refused a job remembers that the job was offered to another one, and sends a later submission there.

Change: CancelWork says whether tasks of the job may have started. If so, the refusing shard remembers for 3 s after the cancel: another owner hears of it over a new link, or loses the holder, within a second or so, and the leases end 1.07 s after that. A job that was refused everywhere is forgotten at once, so that callers who return after Retry-After are judged anew.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -627,7 +627,8 @@
             if work.submitted_to[0] and (work.earlier_owners or not work.done):
                 receivers |= {shard_owner.owner, work.submitted_to[0]}
             for receiver in sorted(receivers):
-                self._send(receiver, CancelWork(work.work_id))
+                cancel = CancelWork(work.work_id, end.outcome is not Outcome.REFUSED)
+                self._send(receiver, cancel)
         now = current_time()
         steps = job.request.steps
         tasks = sum(step.count for step in steps)
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -247,7 +247,8 @@
 
     def cancel(self, holder: str, message: CancelWork) -> None:
         """Stop a work item that its holder has cancelled."""
-        self.scheduler.cancel((holder, message.work_id), current_time())
+        key = (holder, message.work_id)
+        self.scheduler.cancel(key, current_time(), message.may_have_started)
         self._flush_task_events()
 
     def release(self, holder: str, message: ReleaseWork) -> None:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -1,6 +1,6 @@
 """Short-term record of ended work items and runs, for messages that arrive late."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from redwingport_dispatch.interfaces import RunEnd
 from redwingport_dispatch.scheduling.admission import ID_IN_USE
@@ -17,6 +17,9 @@
 # A client resubmits a job 1.3 s after its connection broke, for 1.5 s in all, possibly through
 # another process. A resubmitted job that has a started run must not be refused.
 STARTED_JOB_TTL_S = 5.0
+# Runs of a cancelled job may go on in another shard until its owner has heard of the cancel, over
+# a new link if one was broken, or has lost the holder, and then until their leases end.
+CANCELLED_RUNS_TTL_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +108,22 @@
         refusal_by_key = self._passed_on_by_step.get((work.job_id, work.step), {})
         return next(iter(refusal_by_key.values()), None)
 
+    def limit_passed_on(self, key: WorkKey, now: float) -> None:
+        """Record that the job of a refused work item has ended, of which runs may go on.
+
+        Until they have certainly ended, a later submission has to reach the shard to which the
+        work item was offered.
+        """
+        refusal = self._refusal_by_key.get(key)
+        if refusal is None:
+            return
+        refusal_by_key = self._passed_on_by_step.get((refusal.work.job_id, refusal.work.step), {})
+        if key in refusal_by_key:
+            expires_at = min(refusal.expires_at, now + CANCELLED_RUNS_TTL_S)
+            refusal_by_key[key] = replace(refusal, expires_at=expires_at)
+
     def forget_passed_on(self, key: WorkKey) -> None:
-        """Forget that a refused work item was offered to another shard; its job has ended."""
+        """Forget that a refused work item was offered to another shard; its job never started."""
         refusal = self._refusal_by_key.get(key)
         if refusal is not None:
             step = (refusal.work.job_id, refusal.work.step)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -269,9 +269,17 @@
         self._unblock_tasks(now)
         self._request_dispatch(now)
 
-    def cancel(self, key: WorkKey, now: float) -> None:
-        """Cancel a work item: stop its runs and drop its queued tasks."""
-        self._history.forget_passed_on(key)
+    def cancel(self, key: WorkKey, now: float, may_have_started: bool = True) -> None:
+        """Cancel a work item: stop its runs and drop its queued tasks.
+
+        :param key: key of the work item.
+        :param now: monotonic time, in seconds.
+        :param may_have_started: whether any owner may have started tasks of its job.
+        """
+        if may_have_started:
+            self._history.limit_passed_on(key, now)
+        else:
+            self._history.forget_passed_on(key)
         work = self.work_by_key.get(key)
         if work is not None:
             self._drop_work(work, now)
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -557,6 +557,28 @@
     assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
 
 
+# Guards against an owner that passes a job on although it has started nowhere, and against one
+# that starts it while another one may still run it.
+@pytest.mark.parametrize("refused", [False, True])
+async def test_cancel_tells_whether_tasks_may_have_started(refused: bool) -> None:
+    links = Links()
+    holder = Holder("me", links.send, lambda peer: 0.0, Metrics())
+    set_owners(holder, [ShardOwner("o", 1), ShardOwner("p", 1)])
+    job = make_job()
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(holder.run, job)
+        await anyio.wait_all_tasks_blocked()
+        first, _ = links.sent[0]
+        holder.handle_notification(first, WorkRefused(1, 1, TOO_LATE, 1))
+        second, _ = links.sent[1]
+        if refused:
+            holder.handle_notification(second, WorkRefused(1, 1, TOO_LATE, 1))
+        else:
+            assert holder.cancel(job.job_id, job.route.name)
+    cancels = [sent for sent in links.sent if isinstance(sent[1], CancelWork)]
+    assert cancels == [(owner, CancelWork(1, not refused)) for owner in sorted([first, second])]
+
+
 # Guards against work items that are kept for good: an owner in this process refuses the first step
 # of a job while the holder submits it.
 async def test_steps_of_a_job_refused_while_they_are_submitted_are_forgotten(
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -148,9 +148,11 @@
     """Stop the running tasks of a work item and discard the others.
 
     :param work_id: number of the work item at the sender.
+    :param may_have_started: whether any owner may have started tasks of its job.
     """
 
     work_id: Count
+    may_have_started: bool = True
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
--- a/packages/testbed/src/redwingport_testbed/simulation/faults.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/faults.py
@@ -191,6 +191,25 @@
         """Break connections of clients without notice."""
         return str(self._cluster.lose_clients(self._random.uniform(0.1, 1.0)))
 
+    def reset_connections(self) -> str:
+        """Reset some connections of a process, and lose what is under way there."""
+        entry, share = self._entry(), self._random.choice([0.5, 1.0])
+        return f"{entry.node.name} {self._cluster.reset_connections(entry, share)}"
+
+    def delete_jobs(self) -> str:
+        """Let clients delete some of the jobs for which they wait."""
+        return str(self._cluster.delete_some(self._random.uniform(0.1, 0.4)))
+
+    def reset_and_delete(self) -> str:
+        """Reset some connections of a process while clients delete jobs there."""
+        cluster, entry = self._cluster, self._entry()
+        share = self._random.choice([0.3, 0.5])
+        cluster.world.call_later(0.1, lambda: cluster.reset_connections(entry, share))
+        for _ in range(4):
+            deletes = functools.partial(cluster.delete_some, 0.2, [entry])
+            cluster.world.call_later(self._random.uniform(0.0, 0.4), deletes)
+        return f"{entry.node.name} {share}"
+
     def unlist_servers(self) -> str:
         """Let the entries of some servers lapse, while the servers work on."""
         server_ids = [self._server() for _ in range(self._random.randint(1, 4))]
