Begin each new link with the open work items of the holder

Cause: the holder sends CancelWork once. It is lost without an error while the link is down, when its queue is full, when it is queued on a link that breaks, or when it is written into a connection that the peer has reset, which showed at the next write at the earliest. A new link repeated what concerns open work items only.

Change: on each new link the holder first lists its open work items (OpenWorks), and the owner cancels the holder's others. The list is only as good as its order: a process closes the earlier connections of a peer that presents itself on a new one, and one that presents itself late. A link whose queue is full is closed and opened again. Connections are read, so that a reset is noticed at once; a link that breaks soon after it was opened keeps its growing delay. peer-link-lost says how many messages were not written, and the new event works-not-held shows each time that the list has mended something.

Related paths: ReleaseWork and cancels to earlier owners are covered by the list; a release of an open work item is repeated as before; a lost cancel to an owner that has refused the work item ends its time of passing the job on.

--- a/packages/dispatch/src/redwingport_dispatch/connections.py
+++ b/packages/dispatch/src/redwingport_dispatch/connections.py
@@ -30,9 +30,16 @@
 
 
 class OutgoingConnection(asyncio.Protocol):
-    """Send messages on one connection; whatever the peer sends on it is not read."""
+    """Send messages on one connection; whatever the peer sends on it is discarded.
 
-    def __init__(self) -> None:
+    It is read all the same: otherwise the loss of the connection would show at the next write at
+    the earliest, and that write and those before it would be lost without an error.
+
+    :param on_lost: called when the connection is lost.
+    """
+
+    def __init__(self, on_lost: Callable[[], None] = lambda: None) -> None:
+        self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -42,8 +49,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; see :class:`asyncio.Protocol`."""
         self._transport = cast(asyncio.Transport, transport)
-        # The event loop starts to read after this call.
-        asyncio.get_running_loop().call_soon(self._transport.pause_reading)
         # Writing is paused as soon as the system does not accept everything.
         self._transport.set_write_buffer_limits(0)
 
@@ -52,6 +57,7 @@
         self._lost = True
         self._error = exc
         self._writable.set()
+        self._on_lost()
 
     def pause_writing(self) -> None:
         """Make :meth:`send` wait; see :class:`asyncio.Protocol`."""
@@ -68,19 +74,23 @@
         :raises TimeoutError: when the peer does not read.
         """
         assert self._transport is not None
-        self._check_lost()
+        self.check()
         self._transport.write(b"".join(map(_encode, messages)))
         if not self._writable.is_set():
             with anyio.fail_after(SEND_TIMEOUT_S):
                 await self._writable.wait()
-            self._check_lost()
+            self.check()
 
     def abort(self) -> None:
         """Close the connection without sending what is buffered."""
         if self._transport is not None:
             self._transport.abort()
 
-    def _check_lost(self) -> None:
+    def check(self) -> None:
+        """Check that the connection is not known to be lost.
+
+        :raises anyio.BrokenResourceError: when it is.
+        """
         if self._lost:
             raise anyio.BrokenResourceError from self._error
 
--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -256,6 +256,13 @@
         "a process received a work item of a shard that it does not own",
         ("sender", "work"),
     ),
+    LogEvent(
+        "works-not-held",
+        _O,
+        "work items were stopped on a new link of their holder, which had ended them: the message "
+        "about it was lost with an earlier link",
+        ("holder", "works", *OWNER_FIELDS),
+    ),
     LogEvent(
         "holder-dropped",
         _O,
@@ -377,7 +384,13 @@
         ("revision",),
     ),
     LogEvent("peer-link-opened", _P, "an outgoing link to a process was opened", ("peer",)),
-    LogEvent("peer-link-lost", _P, "the outgoing link to a process broke", ("peer", "reason")),
+    LogEvent(
+        "peer-link-lost",
+        _P,
+        "the outgoing link to a process broke; `unsent` messages were not written, and some that "
+        "were may not have arrived",
+        ("peer", "reason", "unsent"),
+    ),
     LogEvent("peer-link-ended", _P, "the incoming link from a process broke", ("peer", "reason")),
     LogEvent("peer-lost", _P, "a process has become unreachable", ("peer",)),
     LogEvent(
@@ -389,7 +402,7 @@
     LogEvent(
         "peer-queue-full",
         _P,
-        "the queue to a process is full or was just closed; a message was dropped",
+        "the queue to a process is full; the link is closed and opened again",
         ("peer",),
     ),
     LogEvent("message-dropped", _P, "a message to a process could not be encoded", ("reason",)),
--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -24,6 +24,7 @@
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
+    OpenWorks,
     ReleaseWork,
     SubmitWork,
     TaskNews,
@@ -44,7 +45,7 @@
 # Number of bytes of the hash that tells apart jobs with the same id.
 IDENTITY_BYTES = 8
 
-OwnerMessage = SubmitWork | CancelWork | ReleaseWork
+OwnerMessage = SubmitWork | CancelWork | ReleaseWork | OpenWorks
 
 decisions = logging.getLogger(DECISIONS)
 
@@ -392,11 +393,13 @@
             )
 
     def resubmit(self, owner: str) -> None:
-        """Repeat the messages about open work items that an owner may have missed.
+        """Repeat what an owner may have missed.
 
-        All its work items are submitted again, including those it may already have, and those
-        that were submitted to another owner since are released again.
+        It is told which work items are open, so that it cancels the others. All its open ones are
+        submitted again, including those it may already have, and those that were submitted to
+        another owner since are released again.
         """
+        self._send(owner, OpenWorks(sorted(self._work_by_id)))
         for work in list(self._work_by_id.values()):
             if self._owner_of(work).owner == owner:
                 self._submit(work)
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -19,6 +19,7 @@
 from redwingport_entry.logs import DECISIONS, log_event
 from redwingport_messages.dispatch import (
     CancelWork,
+    OpenWorks,
     ReleaseWork,
     SubmitWork,
     TaskEvent,
@@ -251,6 +252,14 @@
         self.scheduler.cancel(key, current_time(), message.may_have_started)
         self._flush_task_events()
 
+    def cancel_others(self, holder: str, message: OpenWorks) -> None:
+        """Stop the work items that their holder has ended without this owner hearing of it."""
+        open_keys = {(holder, work_id) for work_id in message.work_ids}
+        cancelled = self.scheduler.cancel_others(holder, open_keys, current_time())
+        if cancelled:
+            self.log_decision("works-not-held", holder=holder, works=cancelled)
+        self._flush_task_events()
+
     def release(self, holder: str, message: ReleaseWork) -> None:
         """Give up a work item that its holder has submitted to another owner."""
         self.scheduler.release((holder, message.work_id), current_time())
--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -29,6 +29,8 @@
 REACHABILITY_TIMEOUT_S = 1.0
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
+# A link that was open for longer is opened again without a longer delay than the first time.
+STABLE_LINK_S = 1.0
 # Heartbeats are due at multiples of this time, so that a process with many peers wakes up once for
 # many of them.
 HEARTBEAT_STEP_S = 0.05
@@ -191,7 +193,10 @@
         if link is None or link.queue is None:
             return False
         if len(link.queue) >= MAX_QUEUED_MESSAGES:
+            # On a new link, everything that still holds is repeated.
             log_event(logger, logging.WARNING, "peer-queue-full", peer=link.address)
+            link.queue = None
+            link.has_work.set()
             return False
         if isinstance(message, Presence):
             link.sent_state = None
@@ -207,16 +212,19 @@
 
     async def _keep_link(self, link: _OutgoingLink) -> None:
         backoff_s = INITIAL_BACKOFF_S
+        unsent = 0
         while True:
             try:
                 connection = await self._connect(link)
-                backoff_s = INITIAL_BACKOFF_S
                 link.refused = False
                 try:
                     await self._send_all(link, connection)
                 finally:
+                    unsent = len(link.queue or ())
                     link.queue = None
                     connection.abort()
+                    if current_time() - link.connected_at > STABLE_LINK_S:
+                        backoff_s = INITIAL_BACKOFF_S
             except LINK_ERRORS as error:
                 link.refused = isinstance(error, ConnectionRefusedError)
                 if link.refused and link.incarnation:
@@ -224,7 +232,12 @@
                 if link.connected_at:
                     reason = f"{type(error).__name__}: {error}"
                     log_event(
-                        logger, logging.WARNING, "peer-link-lost", peer=link.address, reason=reason
+                        logger,
+                        logging.WARNING,
+                        "peer-link-lost",
+                        peer=link.address,
+                        reason=reason,
+                        unsent=unsent,
                     )
             link.connected_at = 0.0
             with anyio.move_on_after(backoff_s):
@@ -237,7 +250,9 @@
         loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(OutgoingConnection, host, int(port))
+                _, connection = await loop.create_connection(
+                    lambda: OutgoingConnection(link.has_work.set), host, int(port)
+                )
         except (OSError, ValueError, OverflowError) as error:
             # Addresses come from rows and messages of others, and may be none.
             raise OSError("connection failed") from error
@@ -265,6 +280,9 @@
                 if not queue and not link.heartbeat_due:
                     link.has_work.clear()
                     await link.has_work.wait()
+                connection.check()
+                if link.queue is not queue:
+                    raise anyio.BrokenResourceError("too many queued messages")
                 # Queued messages are sent in one write: with a write for each, a busy process
                 # would send only some tens of messages a second to each peer.
                 messages = [queue.popleft() for _ in range(min(len(queue), MAX_BATCH_MESSAGES))]
@@ -312,6 +330,8 @@
     def _receive(self, connection: IncomingConnection, message: Frame) -> None:
         if isinstance(message, Presence):
             is_new = message.incarnation != connection.incarnation
+            if is_new and not self._replace_incoming(connection, message):
+                return
             connection.incarnation = message.incarnation
             connection.presence = message
             connection.peer = message.address
@@ -333,6 +353,25 @@
         elif connection.incarnation:
             self._on_message(connection.incarnation, message)
 
+    def _replace_incoming(self, connection: IncomingConnection, presence: Presence) -> bool:
+        """Close the earlier connections of a peer that has opened a new one.
+
+        What they have delivered is followed by what the peer repeats on the new one; anything
+        that arrives on them later is out of order.
+
+        :param connection: connection on which a presence message of the peer has arrived first.
+        :param presence: the message.
+        :returns: whether the connection is the latest one; it is closed if it is not.
+        """
+        for other in [c for c in self._incoming if c.incarnation == presence.incarnation]:
+            is_later = other.presence is not None and other.presence.sequence > presence.sequence
+            closed = connection if is_later else other
+            self._incoming.discard(closed)
+            closed.abort()
+            if is_later:
+                return False
+        return True
+
     def _note_presence(self, presence: Presence) -> None:
         self.add_address(presence.address)
         link = self._link_by_address.get(presence.address)
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -49,6 +49,7 @@
     ConfigurationQuery,
     LayoutAnswer,
     LayoutQuery,
+    OpenWorks,
     Presence,
     PresenceUnchanged,
     ReleaseWork,
@@ -512,7 +513,7 @@
     def _handle_message(self, sender: str, message: Frame) -> None:
         if isinstance(message, Presence):
             self._handle_presence(message)
-        elif isinstance(message, SubmitWork | CancelWork | ReleaseWork):
+        elif isinstance(message, SubmitWork | CancelWork | ReleaseWork | OpenWorks):
             self._handle_work(sender, message)
         elif isinstance(message, TaskNews | WorkRefused | WorkAbandoned):
             self.holder.handle_notification(sender, message)
@@ -580,6 +581,10 @@
             for owner in self._owner_by_shard.values():
                 owner.cancel(sender, message)
             return
+        if isinstance(message, OpenWorks):
+            for owner in self._owner_by_shard.values():
+                owner.cancel_others(sender, message)
+            return
         if isinstance(message, ReleaseWork):
             for owner in self._owner_by_shard.values():
                 if owner.term == message.term:
@@ -607,7 +612,7 @@
             log_event(logger, logging.WARNING, "news-not-sent", holder=holder)
 
     def _handle_link(self, incarnation: str) -> None:
-        """Resubmit the work items of an owner, as a broken link may have lost messages."""
+        """Repeat what the peer may have missed, as a broken link may have lost messages."""
         self.holder.resubmit(incarnation)
         crashes, retractions = self._crash_log.all_crashes(), self._crash_log.all_retractions()
         if crashes or retractions:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -1,5 +1,6 @@
 """Short-term record of ended work items and runs, for messages that arrive late."""
 
+from collections.abc import Set
 from dataclasses import dataclass, replace
 
 from redwingport_dispatch.interfaces import RunEnd
@@ -122,6 +123,17 @@
             expires_at = min(refusal.expires_at, now + CANCELLED_RUNS_TTL_S)
             refusal_by_key[key] = replace(refusal, expires_at=expires_at)
 
+    def limit_passed_on_of(self, holder: str, open_keys: Set[WorkKey], now: float) -> None:
+        """Record that the jobs of a holder have ended, but for those of its open work items."""
+        ended = [
+            key
+            for refusal_by_key in self._passed_on_by_step.values()
+            for key, refusal in refusal_by_key.items()
+            if refusal.work.holder == holder and key not in open_keys
+        ]
+        for key in ended:
+            self.limit_passed_on(key, now)
+
     def forget_passed_on(self, key: WorkKey) -> None:
         """Forget that a refused work item was offered to another shard; its job never started."""
         refusal = self._refusal_by_key.get(key)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1,7 +1,7 @@
 """Scheduler of an owner: decides where and when tasks start, and tracks their runs."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import (
@@ -309,7 +309,25 @@
         :returns: the number of cancelled work items.
         """
         self._unconfirmed_holders.discard(holder)
-        works = [work for work in self.work_by_key.values() if work.holder == holder]
+        return self._drop_works_of(holder, set(), now)
+
+    def cancel_others(self, holder: str, open_keys: Set[WorkKey], now: float) -> int:
+        """Cancel the work items of a holder that it has ended.
+
+        :param holder: incarnation of the holder.
+        :param open_keys: keys of its open work items.
+        :param now: monotonic time, in seconds.
+        :returns: the number of cancelled work items.
+        """
+        self._history.limit_passed_on_of(holder, open_keys, now)
+        return self._drop_works_of(holder, open_keys, now)
+
+    def _drop_works_of(self, holder: str, kept_keys: Set[WorkKey], now: float) -> int:
+        works = [
+            work
+            for key, work in self.work_by_key.items()
+            if work.holder == holder and key not in kept_keys
+        ]
         for work in works:
             self._drop_work(work, now, logs_ends=True)
         if works:
--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -21,6 +21,7 @@
 from redwingport_dispatch.scheduling.admission import ID_IN_USE, TOO_LATE
 from redwingport_messages.dispatch import (
     CancelWork,
+    OpenWorks,
     ReleaseWork,
     SubmitWork,
     TaskNews,
@@ -557,6 +558,27 @@
     assert (await run_job(make_job(), script)).outcome is Outcome.COMPLETE
 
 
+# Guards against an owner that goes on with a job whose cancel was lost with the link.
+async def test_owner_is_told_first_which_work_items_are_open_on_a_new_link() -> None:
+    links = Links()
+    holder = Holder("me", links.send, lambda peer: 0.0, Metrics())
+    set_owners(holder, [ShardOwner("o", 1)])
+    ended, kept = make_job(timeout_s=5), make_job(timeout_s=5)
+    kept.job_id = "1" * 16
+    async with anyio.create_task_group() as task_group:
+        for job in (ended, kept):
+            task_group.start_soon(holder.run, job)
+            await anyio.wait_all_tasks_blocked()
+        links.up = False
+        assert holder.cancel(ended.job_id, ended.route.name)
+        links.up = True
+        links.sent.clear()
+        holder.resubmit("o")
+        assert links.sent[0] == ("o", OpenWorks([2]))
+        assert [message.work_id for message in links.submissions()] == [2]
+        task_group.cancel_scope.cancel()
+
+
 # Guards against an owner that passes a job on although it has started nowhere, and against one
 # that starts it while another one may still run it.
 @pytest.mark.parametrize("refused", [False, True])
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from redwingport_dispatch import peers
 from redwingport_dispatch.peers import Mesh
 from redwingport_messages.dispatch import Presence, PresenceUnchanged, TaskNews
 from redwingport_messages.frames import Frame, encode_frame
@@ -50,6 +51,7 @@
         self.renews = True
         self.renewed: list[tuple[Presence, int]] = []
         self.sequence = itertools.count(1)
+        self.linked: list[str] = []
         self.mesh = Mesh(
             self.address,
             lambda peer: self.heartbeat_s,
@@ -60,7 +62,7 @@
             lambda peer: True,
             lambda sender, message: self.received.append(message),
             self._renew,
-            lambda peer: None,
+            self.linked.append,
             lambda peer: None,
         )
 
@@ -337,3 +339,80 @@
         sender.mesh.add_address(f"127.0.0.1\0:{port}")
         await wait_for_heartbeats(receiver, len(receiver.renewed) + 2)
         task_group.cancel_scope.cancel()
+
+
+async def wait_for_link(sender: Process, receiver: Process) -> None:
+    with anyio.fail_after(5):
+        while not sender.mesh.send(receiver.name, TaskNews([])):
+            await anyio.sleep(0.01)
+        while not receiver.task_event_count():
+            await anyio.sleep(0.01)
+
+
+# Guards against messages that are lost without an error, as a reset shows only at the next write.
+async def test_link_that_the_peer_has_reset_is_opened_again_without_a_message() -> None:
+    sender, receiver = Process("sender"), Process("receiver")
+    sender.heartbeat_s = 60.0
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        receiver.mesh.add_address(sender.address)
+        await wait_for_link(sender, receiver)
+        # Both links are reported, in both directions.
+        await anyio.sleep(0.2)
+        sender.linked.clear()
+        receiver.mesh.drop_incoming("sender")
+        with anyio.fail_after(5):
+            while "receiver" not in sender.linked:
+                await anyio.sleep(0.01)
+        assert sender.mesh.send("receiver", TaskNews([]))
+        task_group.cancel_scope.cancel()
+
+
+# Guards against a peer that never hears what was not queued, as its link stays open.
+async def test_link_whose_queue_is_full_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peers, "MAX_QUEUED_MESSAGES", 3)
+    sender, receiver = Process("sender"), Process("receiver")
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        receiver.mesh.add_address(sender.address)
+        await wait_for_link(sender, receiver)
+        await anyio.sleep(0.2)
+        sender.linked.clear()
+        # Without a wait in between, nothing leaves the queue.
+        sent = [sender.mesh.send("receiver", TaskNews([])) for _ in range(5)]
+        assert sent == [True, True, True, False, False]
+        with anyio.fail_after(5):
+            while "receiver" not in sender.linked:
+                await anyio.sleep(0.01)
+        assert sender.mesh.send("receiver", TaskNews([]))
+        task_group.cancel_scope.cancel()
+
+
+# Guards against a work item that arrives on an old connection after its cancel came on a new one.
+@pytest.mark.parametrize("is_later_first", [False, True])
+async def test_only_the_latest_connection_of_a_peer_delivers(is_later_first: bool) -> None:
+    receiver = Process("receiver")
+    peer = Process("peer")
+    first, second = peer._describe(), peer._describe()
+    if is_later_first:
+        first, second = second, first
+    host, _, port = receiver.address.rpartition(":")
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(receiver.mesh.run)
+        await anyio.sleep(0.05)
+        async with (
+            await anyio.connect_tcp(host, int(port)) as one,
+            await anyio.connect_tcp(host, int(port)) as other,
+        ):
+            for stream, presence in ((one, first), (other, second)):
+                await stream.send(encode_frame(presence))
+                await anyio.sleep(0.05)
+            for stream, number in ((one, 1), (other, 2)):
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    await stream.send(encode_frame(TaskNews([(number, 0, "done", 1, "s")])))
+                await anyio.sleep(0.05)
+        task_group.cancel_scope.cancel()
+    events = [message.events for message in receiver.received if isinstance(message, TaskNews)]
+    assert events == [[(1 if is_later_first else 2, 0, "done", 1, "s")]]
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -1,7 +1,7 @@
 """Work items that are submitted again, and submissions that share the id of a job."""
 
 import pytest
-from scheduling_fakes import SERVICE, SchedulerHarness
+from scheduling_fakes import HOLDER, SERVICE, SchedulerHarness
 
 from redwingport_dispatch.exceptions import OrderFailure
 from redwingport_dispatch.interfaces import (
@@ -12,6 +12,7 @@
     TaskShape,
 )
 from redwingport_dispatch.scheduling.admission import ID_IN_USE
+from redwingport_dispatch.scheduling.history import CANCELLED_RUNS_TTL_S
 from redwingport_dispatch.scheduling.work import Task, Work
 
 
@@ -286,3 +287,33 @@
     harness.report("s1")
     harness.advance(0.01)
     assert len(harness.effects.started) == 3
+
+
+# Guards against work items that go on although their holder has ended them, which it has said over
+# a link that was reset.
+def test_work_items_that_their_holder_does_not_list_are_cancelled() -> None:
+    harness = SchedulerHarness()
+    ended = harness.submit("ended")
+    kept = harness.submit("kept")
+    other = harness.submit("other", holder="other")
+    harness.accept_all()
+    assert harness.scheduler.cancel_others(HOLDER, {kept.key}, harness.now) == 1
+    assert set(harness.scheduler.work_by_key) == {kept.key, other.key}
+    assert [run.task_name for run in harness.effects.stopped] == [ended.task_name(0)]
+    assert harness.scheduler.cancel_others(HOLDER, {kept.key}, harness.now) == 0
+
+
+# Guards against a job that is passed on for good, as the message about its end was lost.
+def test_job_whose_holder_does_not_list_it_is_passed_on_for_a_limited_time() -> None:
+    harness = SchedulerHarness(servers=0)
+    work = harness.submit("job", more_offers=True, deadline_s=60, target_s=50)
+    harness.add_server("s0")
+    harness.scheduler.cancel_others(HOLDER, {work.key}, harness.now)
+    harness.advance(CANCELLED_RUNS_TTL_S)
+    harness.submit("job", holder="second", more_offers=True)
+    assert not harness.effects.started
+    harness.scheduler.cancel_others(HOLDER, set(), harness.now)
+    harness.scheduler.cancel_others("second", set(), harness.now)
+    harness.advance(CANCELLED_RUNS_TTL_S)
+    harness.submit("job", holder="third", more_offers=True)
+    assert len(harness.effects.started) == 1
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -169,6 +169,19 @@
     term: Count
 
 
+@checked_dataclass(frozen=True, slots=True, config=_STRICT)
+class OpenWorks:
+    """List all open work items of the sender; the receiver cancels the sender's other ones.
+
+    A cancel can be lost with a link without an error at its sender, so the list is the first
+    message about work items on each new link.
+
+    :param work_ids: numbers of the work items at the sender, whichever owners have them.
+    """
+
+    work_ids: list[Count]
+
+
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class TaskNews:
     """Report task events in the order in which they occurred.
--- a/packages/messages/src/redwingport_messages/frames.py
+++ b/packages/messages/src/redwingport_messages/frames.py
@@ -15,6 +15,7 @@
     ConfigurationQuery,
     LayoutAnswer,
     LayoutQuery,
+    OpenWorks,
     Presence,
     PresenceUnchanged,
     ReleaseWork,
@@ -220,6 +221,7 @@
     | SubmitWork
     | CancelWork
     | ReleaseWork
+    | OpenWorks
     | TaskNews
     | WorkRefused
     | WorkAbandoned
@@ -282,6 +284,7 @@
     24: _codec(LayoutAnswer),
     25: _codec(PresenceUnchanged),
     26: _codec(ServerCrashes),
+    27: _codec(OpenWorks),
 }
 _CODE_BY_CLASS = {codec.cls: code for code, codec in _CODEC_BY_CODE.items()}
 
--- a/packages/testbed/src/redwingport_testbed/simulation/world.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/world.py
@@ -269,11 +269,17 @@
         self._received.clear()
         if self._receiver is not None and not self._receiver.done():
             self._receiver.set_result(None)
-        self._world.call_later(
-            self._world.delay_s(self.target, self.source), self._tell_sender_of_reset
-        )
+        self._reset_sender()
+
+    def _reset_sender(self) -> None:
+        """Let the sender learn of a reset as soon as the path to it is open."""
+        if self._world.is_cut(self.target, self.source):
+            self._world.hold(self.target, self.source, self._arrive_reset)
+        else:
+            delay_s = self._world.delay_s(self.target, self.source)
+            self._world.call_later(delay_s, self._arrive_reset)
 
-    def _tell_sender_of_reset(self) -> None:
+    def _arrive_reset(self) -> None:
         self.is_reset = True
         if self._world.is_over:
             return
@@ -304,7 +310,7 @@
             self._is_closed = True
             self.transmit(None)
         else:
-            self.is_reset = True
+            self._reset_sender()
 
     def transmit(self, data: bytes | None) -> None:
         """Send data, or the end of the stream."""
