Tell again that a work item was given up when its holder submits it again

Cause: an owner forgets a work item that it has abandoned, or of which a task has used up its attempts. When the message about it is lost with a link, the holder submits the work item again on the next one, and the owner takes it as the work of an earlier owner: it runs a failed task anew with all its attempts, and a request that was displaced by a later one for the same job takes the job back.

Change: the history keeps given up work items as long as ended ones, 3 s, and the owner repeats its message when one of them is submitted again.

Result: the two new tests fail before (a second run was awaited and no second message sent; the displaced request displaced its successor) and pass; all tests of the scheduler pass.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -5,7 +5,7 @@
 
 from redwingport_dispatch.interfaces import RunEnd
 from redwingport_dispatch.scheduling.admission import ID_IN_USE
-from redwingport_dispatch.scheduling.work import Work, WorkKey
+from redwingport_dispatch.scheduling.work import Run, Work, WorkKey
 
 StepKey = tuple[str, int]
 # Id and identity of a job.
@@ -46,6 +46,20 @@
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class GivenUpWork:
+    """Represent a work item that was abandoned, or failed after too many failed runs of a task.
+
+    :param work: the work item.
+    :param failed_run: last run of the failed task; None if the work item was abandoned.
+    :param expires_at: monotonic time from which it can no longer be resubmitted, in seconds.
+    """
+
+    work: Work
+    failed_run: Run | None
+    expires_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class UnclaimedEnd:
     """Represent the end of a run that belongs to no known work item.
@@ -63,10 +77,11 @@
 
 
 class History:
-    """Keep ended, refused and blocked work items, started jobs and unclaimed ends."""
+    """Keep ended, given up, refused and blocked work items, started jobs and unclaimed ends."""
 
     def __init__(self) -> None:
         self._ended_by_key: dict[WorkKey, _EndedWork] = {}
+        self._given_up_by_key: dict[WorkKey, GivenUpWork] = {}
         self._refusal_by_key: dict[WorkKey, Refusal] = {}
         self._passed_on_by_step: dict[StepKey, dict[WorkKey, Refusal]] = {}
         self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
@@ -82,6 +97,15 @@
         ended = self._ended_by_key.get(key)
         return ended.work if ended is not None else None
 
+    def note_given_up(self, work: Work, now: float, failed_run: Run | None = None) -> None:
+        """Record a work item that was abandoned, or that failed by the last run of a task."""
+        expires_at = now + ENDED_WORK_TTL_S
+        self._given_up_by_key[work.key] = GivenUpWork(work, failed_run, expires_at)
+
+    def find_given_up(self, key: WorkKey) -> GivenUpWork | None:
+        """Return a recorded work item that was given up, or None."""
+        return self._given_up_by_key.get(key)
+
     def note_refused(self, work: Work, reason: str, retry_after_s: int) -> None:
         """Record a refusal until the work item can no longer be resubmitted."""
         expires_at = work.deadline_at + ENDED_WORK_TTL_S
@@ -188,6 +212,11 @@
         self._ended_by_key = {
             key: ended for key, ended in self._ended_by_key.items() if now < ended.expires_at
         }
+        self._given_up_by_key = {
+            key: given_up
+            for key, given_up in self._given_up_by_key.items()
+            if now < given_up.expires_at
+        }
         self._refusal_by_key = {
             key: refusal
             for key, refusal in self._refusal_by_key.items()
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -19,7 +19,7 @@
 from redwingport_dispatch.scheduling import admission
 from redwingport_dispatch.scheduling.crashes import RECORD_TTL_S, Crash, CrashLog, Lifetime
 from redwingport_dispatch.scheduling.effects import Effects
-from redwingport_dispatch.scheduling.history import History, UnclaimedEnd
+from redwingport_dispatch.scheduling.history import GivenUpWork, History, UnclaimedEnd
 from redwingport_dispatch.scheduling.openings import UpcomingSlots
 from redwingport_dispatch.scheduling.placement import Placement, choose_server
 from redwingport_dispatch.scheduling.queue import WorkQueue
@@ -224,6 +224,10 @@
         if ended is not None:
             self._report_done_again(ended)
             return
+        given_up = self._history.find_given_up(work.key)
+        if given_up is not None:
+            self._report_given_up_again(given_up)
+            return
         passed_on = None if resumed else self._history.find_passed_on(work)
         if passed_on is not None:
             self.refuse(work, passed_on.reason, passed_on.retry_after_s, {})
@@ -419,6 +423,7 @@
             self._effects.log_decision("work-displaced", job=work.job_id, holder=other.holder)
             # Its holder would submit it to the next owner, with runs that are over by then.
             self._effects.abandon(other)
+            self._history.note_given_up(other, now)
             self._drop_work(other, now, logs_ends=True)
         return True
 
@@ -441,6 +446,7 @@
         """
         if self._history.has_started(work.job_id, work.identity):
             self._effects.abandon(work)
+            self._history.note_given_up(work, now)
             self._forget_work(work)
         else:
             retry_after_s = admission.retry_after_s(kept.target_at - now)
@@ -486,6 +492,14 @@
             if task.state is TaskState.DONE:
                 self._effects.report_done(work, task, task.next_run - 1, "")
 
+    def _report_given_up_again(self, given_up: GivenUpWork) -> None:
+        work, run = given_up.work, given_up.failed_run
+        if run is None:
+            self._effects.abandon(work)
+        else:
+            task = work.task_by_index[run.index]
+            self._effects.report_failed(work, task, run.number, run.server_id)
+
     def _report_placed_again(self, work: Work) -> None:
         for task in work.task_by_index.values():
             run = self.run_by_task.get(work.task_name(task.index))
@@ -1292,6 +1306,7 @@
         task.next_run = max(task.next_run, run.number + 1)
         if task.failures >= work.attempts:
             self._effects.report_failed(work, task, run.number, run.server_id)
+            self._history.note_given_up(work, now, failed_run=run)
             self._drop_work(work, now)
             return
         other = self.run_by_task.get(run.task_name)
@@ -1399,4 +1414,5 @@
     def abandon(self, work: Work, now: float) -> None:
         """Stop the runs of a work item and notify its holder that it cannot be completed."""
         self._effects.abandon(work)
+        self._history.note_given_up(work, now)
         self._drop_work(work, now)
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -317,3 +317,32 @@
     harness.advance(CANCELLED_RUNS_TTL_S)
     harness.submit("job", holder="third", more_offers=True)
     assert len(harness.effects.started) == 1
+
+
+# Guards against further runs of a task that has used up its attempts, as the message about it was
+# lost with the link.
+def test_failed_work_item_is_reported_again_when_it_is_resubmitted() -> None:
+    harness = SchedulerHarness(servers=1)
+    work = harness.submit("job", attempts=1)
+    harness.accept_all()
+    harness.end(harness.effects.started[0], EndKind.FAILED)
+    assert harness.effects.failed == [("job", 0)]
+    harness.submit("job", attempts=1, work_id=work.work_id, resumed=True, placed={0: "s0"})
+    harness.advance(2.0)
+    assert harness.effects.failed == [("job", 0)] * 2
+    assert len(harness.effects.started) == 1
+
+
+# Guards against a request that takes its job back from a later one by which it was displaced, as
+# the message about it was lost with the link.
+def test_abandoned_work_item_is_abandoned_again_when_it_is_resubmitted() -> None:
+    harness = SchedulerHarness(servers=1)
+    first = harness.submit("job", holder="one", deadline_s=9)
+    harness.accept_all()
+    second = harness.submit("job", holder="two", deadline_s=9)
+    assert harness.effects.abandoned == ["job"]
+    harness.submit(
+        "job", holder="one", work_id=first.work_id, deadline_s=9, resumed=True, placed={0: "s0"}
+    )
+    assert harness.effects.abandoned == ["job"] * 2
+    assert list(harness.scheduler.work_by_key) == [second.key]
