Forget at once that a job was passed on when it has ended without open runs

Cause: since a cancelled job is sent to the shard that runs it until its runs have ended, this also held for jobs that were complete. And a complete job whose answer was lost was kept from the shard that had capacity.

Change: CancelWork says whether runs of the job may go on (may_be_running, before may_have_started): not after a refusal, and not after all tasks are done, unless an earlier owner had the work item. A full queue is a mark of its link now, so that peer-link-lost counts the messages that were not written there, too.

The tests of holder, links, cancels and submissions pass.

--- a/packages/dispatch/src/redwingport_dispatch/holder.py
+++ b/packages/dispatch/src/redwingport_dispatch/holder.py
@@ -630,8 +630,7 @@
             if work.submitted_to[0] and (work.earlier_owners or not work.done):
                 receivers |= {shard_owner.owner, work.submitted_to[0]}
             for receiver in sorted(receivers):
-                cancel = CancelWork(work.work_id, end.outcome is not Outcome.REFUSED)
-                self._send(receiver, cancel)
+                self._send(receiver, CancelWork(work.work_id, _may_be_running(job, end)))
         now = current_time()
         steps = job.request.steps
         tasks = sum(step.count for step in steps)
@@ -672,6 +671,14 @@
         )
 
 
+def _may_be_running(job: Job, end: JobEnd) -> bool:
+    """Return whether runs of an ended job may go on."""
+    if end.outcome is Outcome.COMPLETE:
+        # An earlier owner may have reported the end of a task that the next one has started anew.
+        return any(work.earlier_owners for work in job.work_by_step.values())
+    return end.outcome is not Outcome.REFUSED
+
+
 def _list_completed_runs(job: Job, now: float) -> list[tuple[str, int, str, float]]:
     """Return step and index, run number, server and age of the report of each done task."""
     return [
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -249,7 +249,7 @@
     def cancel(self, holder: str, message: CancelWork) -> None:
         """Stop a work item that its holder has cancelled."""
         key = (holder, message.work_id)
-        self.scheduler.cancel(key, current_time(), message.may_have_started)
+        self.scheduler.cancel(key, current_time(), message.may_be_running)
         self._flush_task_events()
 
     def cancel_others(self, holder: str, message: OpenWorks) -> None:
--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -57,6 +57,7 @@
     """Hold the outgoing link to one address.
 
     :param queue: messages to be sent; None while the link is not open.
+    :param is_full: whether a message was dropped because the queue was full; the link is closed.
     :param has_work: set when a message is queued or a heartbeat is due.
     :param heartbeat_due: whether the next heartbeat is due.
     :param sent_state: state of this process in the last presence message on the connection; None
@@ -69,6 +70,7 @@
     connected_at: float = 0.0
     refused: bool = False
     queue: deque[Frame] | None = None
+    is_full: bool = False
     has_work: asyncio.Event = field(default_factory=asyncio.Event)
     heartbeat_due: bool = False
     sent_state: object = None
@@ -190,12 +192,12 @@
     def send(self, incarnation: str, message: Frame) -> bool:
         """Queue a message for a peer; return whether it was queued on an open link."""
         link = self._link_by_incarnation.get(incarnation)
-        if link is None or link.queue is None:
+        if link is None or link.queue is None or link.is_full:
             return False
         if len(link.queue) >= MAX_QUEUED_MESSAGES:
             # On a new link, everything that still holds is repeated.
             log_event(logger, logging.WARNING, "peer-queue-full", peer=link.address)
-            link.queue = None
+            link.is_full = True
             link.has_work.set()
             return False
         if isinstance(message, Presence):
@@ -260,6 +262,7 @@
 
     async def _send_all(self, link: _OutgoingLink, connection: OutgoingConnection) -> None:
         link.queue = deque()
+        link.is_full = False
         link.connected_at = current_time()
         link.sent_state = None
         await self._send_presence(link, connection)
@@ -281,7 +284,7 @@
                     link.has_work.clear()
                     await link.has_work.wait()
                 connection.check()
-                if link.queue is not queue:
+                if link.is_full:
                     raise anyio.BrokenResourceError("too many queued messages")
                 # Queued messages are sent in one write: with a write for each, a busy process
                 # would send only some tens of messages a second to each peer.
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -273,14 +273,15 @@
         self._unblock_tasks(now)
         self._request_dispatch(now)
 
-    def cancel(self, key: WorkKey, now: float, may_have_started: bool = True) -> None:
+    def cancel(self, key: WorkKey, now: float, may_be_running: bool = True) -> None:
         """Cancel a work item: stop its runs and drop its queued tasks.
 
         :param key: key of the work item.
         :param now: monotonic time, in seconds.
-        :param may_have_started: whether any owner may have started tasks of its job.
+        :param may_be_running: whether runs of its job may go on: some were started, and not all
+            are known to have ended.
         """
-        if may_have_started:
+        if may_be_running:
             self._history.limit_passed_on(key, now)
         else:
             self._history.forget_passed_on(key)
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -148,11 +148,12 @@
     """Stop the running tasks of a work item and discard the others.
 
     :param work_id: number of the work item at the sender.
-    :param may_have_started: whether any owner may have started tasks of its job.
+    :param may_be_running: whether runs of its job may go on: some were started, and not all are
+        known to have ended.
     """
 
     work_id: Count
-    may_have_started: bool = True
+    may_be_running: bool = True
 
 
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
