Notice a reset that arrives while a message is being written

Cause: the loop of a link clears its event before it waits for work. A reset, or a full queue, that came during a write had set the event already, so that the link was closed at the next heartbeat only.

Change: the loop looks at the state of the connection before it waits, too.

Result: the new test of a link that is lost during a write, with heartbeats 60 s apart, timed out before and passes; test_peers.py passes.

--- a/packages/dispatch/src/redwingport_dispatch/peers.py
+++ b/packages/dispatch/src/redwingport_dispatch/peers.py
@@ -280,12 +280,13 @@
         timer = loop.call_at(heartbeat_at, link.note_heartbeat_due)
         try:
             while True:
-                if not queue and not link.heartbeat_due:
-                    link.has_work.clear()
-                    await link.has_work.wait()
                 connection.check()
                 if link.is_full:
                     raise anyio.BrokenResourceError("too many queued messages")
+                if not queue and not link.heartbeat_due:
+                    link.has_work.clear()
+                    await link.has_work.wait()
+                    continue
                 # Queued messages are sent in one write: with a write for each, a busy process
                 # would send only some tens of messages a second to each peer.
                 messages = [queue.popleft() for _ in range(min(len(queue), MAX_BATCH_MESSAGES))]
--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from redwingport_dispatch import peers
+from redwingport_dispatch.connections import OutgoingConnection
 from redwingport_dispatch.peers import Mesh
 from redwingport_messages.dispatch import Presence, PresenceUnchanged, TaskNews
 from redwingport_messages.frames import Frame, encode_frame
@@ -369,6 +370,35 @@
         task_group.cancel_scope.cancel()
 
 
+# Guards against a reset that shows only at the next heartbeat, as it arrives during a write.
+async def test_link_that_is_reset_during_a_write_is_opened_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    send = OutgoingConnection.send
+
+    async def send_and_lose(connection: OutgoingConnection, messages: list[Frame]) -> None:
+        await send(connection, messages)
+        if TaskNews([(1, 0, "done", 1, "s")]) in messages:
+            connection.abort()
+            await anyio.sleep(0.01)
+
+    monkeypatch.setattr(OutgoingConnection, "send", send_and_lose)
+    sender, receiver = Process("sender"), Process("receiver")
+    sender.heartbeat_s = 60.0
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(sender.mesh.run)
+        task_group.start_soon(receiver.mesh.run)
+        receiver.mesh.add_address(sender.address)
+        await wait_for_link(sender, receiver)
+        await anyio.sleep(0.2)
+        sender.linked.clear()
+        assert sender.mesh.send("receiver", TaskNews([(1, 0, "done", 1, "s")]))
+        with anyio.fail_after(5):
+            while "receiver" not in sender.linked:
+                await anyio.sleep(0.01)
+        task_group.cancel_scope.cancel()
+
+
 # Guards against a peer that never hears what was not queued, as its link stays open.
 async def test_link_whose_queue_is_full_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(peers, "MAX_QUEUED_MESSAGES", 3)
