--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import time
+from collections.abc import AsyncIterator
 
 import anyio
 import pytest
@@ -342,82 +343,65 @@
         task_group.cancel_scope.cancel()
 
 
-async def wait_for_link(sender: Process, receiver: Process) -> None:
-    with anyio.fail_after(5):
-        while not sender.mesh.send(receiver.name, TaskNews([])):
-            await anyio.sleep(0.01)
-        while not receiver.task_event_count():
-            await anyio.sleep(0.01)
-
-
-# Guards against messages that are lost without an error, as a reset shows only at the next write.
-async def test_link_that_the_peer_has_reset_is_opened_again_without_a_message() -> None:
-    sender, receiver = Process("sender"), Process("receiver")
-    sender.heartbeat_s = 60.0
+@contextlib.asynccontextmanager
+async def linked(sender: Process, receiver: Process) -> AsyncIterator[None]:
+    """Link two processes; the link has to be opened again within the context."""
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(sender.mesh.run)
         task_group.start_soon(receiver.mesh.run)
         receiver.mesh.add_address(sender.address)
-        await wait_for_link(sender, receiver)
-        # Both links are reported, in both directions.
+        with anyio.fail_after(5):
+            while not sender.mesh.send(receiver.name, TaskNews([])):
+                await anyio.sleep(0.01)
+            while not receiver.task_event_count():
+                await anyio.sleep(0.01)
+        # The link is reported twice: when it is opened, and when the peer is heard.
         await anyio.sleep(0.2)
         sender.linked.clear()
-        receiver.mesh.drop_incoming("sender")
+        yield
         with anyio.fail_after(5):
-            while "receiver" not in sender.linked:
+            while receiver.name not in sender.linked:
                 await anyio.sleep(0.01)
-        assert sender.mesh.send("receiver", TaskNews([]))
+        assert sender.mesh.send(receiver.name, TaskNews([]))
         task_group.cancel_scope.cancel()
 
 
+# Guards against messages that are lost without an error, as a reset shows only at the next write.
+async def test_link_that_the_peer_has_reset_is_opened_again_without_a_message() -> None:
+    sender, receiver = Process("sender"), Process("receiver")
+    sender.heartbeat_s = 60.0
+    async with linked(sender, receiver):
+        receiver.mesh.drop_incoming("sender")
+
+
 # Guards against a reset that shows only at the next heartbeat, as it arrives during a write.
 async def test_link_that_is_reset_during_a_write_is_opened_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     send = OutgoingConnection.send
+    last = TaskNews([(1, 0, "done", 1, "s")])
 
     async def send_and_lose(connection: OutgoingConnection, messages: list[Frame]) -> None:
         await send(connection, messages)
-        if TaskNews([(1, 0, "done", 1, "s")]) in messages:
+        if last in messages:
             connection.abort()
             await anyio.sleep(0.01)
 
     monkeypatch.setattr(OutgoingConnection, "send", send_and_lose)
     sender, receiver = Process("sender"), Process("receiver")
     sender.heartbeat_s = 60.0
-    async with anyio.create_task_group() as task_group:
-        task_group.start_soon(sender.mesh.run)
-        task_group.start_soon(receiver.mesh.run)
-        receiver.mesh.add_address(sender.address)
-        await wait_for_link(sender, receiver)
-        await anyio.sleep(0.2)
-        sender.linked.clear()
-        assert sender.mesh.send("receiver", TaskNews([(1, 0, "done", 1, "s")]))
-        with anyio.fail_after(5):
-            while "receiver" not in sender.linked:
-                await anyio.sleep(0.01)
-        task_group.cancel_scope.cancel()
+    async with linked(sender, receiver):
+        assert sender.mesh.send("receiver", last)
 
 
 # Guards against a peer that never hears what was not queued, as its link stays open.
 async def test_link_whose_queue_is_full_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(peers, "MAX_QUEUED_MESSAGES", 3)
     sender, receiver = Process("sender"), Process("receiver")
-    async with anyio.create_task_group() as task_group:
-        task_group.start_soon(sender.mesh.run)
-        task_group.start_soon(receiver.mesh.run)
-        receiver.mesh.add_address(sender.address)
-        await wait_for_link(sender, receiver)
-        await anyio.sleep(0.2)
-        sender.linked.clear()
+    async with linked(sender, receiver):
         # Without a wait in between, nothing leaves the queue.
         sent = [sender.mesh.send("receiver", TaskNews([])) for _ in range(5)]
         assert sent == [True, True, True, False, False]
-        with anyio.fail_after(5):
-            while "receiver" not in sender.linked:
-                await anyio.sleep(0.01)
-        assert sender.mesh.send("receiver", TaskNews([]))
-        task_group.cancel_scope.cancel()
 
 
 # Guards against a work item that arrives on an old connection after its cancel came on a new one.
