Let a job wait for its first holder, which is out of reach

What callers saw: in the users' record, two owners ordered run 2 of one task, one on each side of a cut, and both runs overlapped by 0.1 to 0.2 s.

Cause: an owner that lost a holder dropped its work items and kept nothing of them. The holder was on the other side of the cut, where another owner went on with the job. When the client sent the job again through a process on this side, the owner started it here as well, once the leases of its own runs had ended. The holder had no reason to end the job: a connection of a client can be lost without its noticing.

Change: an owner remembers the jobs of a holder that is out of reach until the holder is known to have ended, is heard again, or its jobs have passed their deadlines and one more lease. Until then, another submission of such a job waits; it is never refused, since the job may have started.

That the clients of the record sent their jobs again is the reading that fits its times best; the record does not show it.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -267,8 +267,8 @@
         "holder-dropped",
         _O,
         "the work items of a process that is unreachable or has ended are stopped; `unheard_s` is "
-        "the time since its last heartbeat",
-        ("holder", "works", "unheard_s", *OWNER_FIELDS),
+        "the time since its last heartbeat, `has_ended` whether it is known to have ended",
+        ("holder", "works", "unheard_s", "has_ended", *OWNER_FIELDS),
     ),
     LogEvent(
         "news-not-sent",
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -265,16 +265,21 @@
         self.scheduler.release((holder, message.work_id), current_time())
         self._flush_task_events()
 
-    def drop_holder(self, holder: str, unheard_s: float) -> None:
+    def drop_holder(self, holder: str, unheard_s: float, has_ended: bool = False) -> None:
         """Stop the work items of a holder that is unreachable or has ended.
 
         :param holder: incarnation of the holder.
         :param unheard_s: time since its last heartbeat, in seconds; for the log.
+        :param has_ended: whether it is known to have ended.
         """
-        dropped = self.scheduler.drop_holder(holder, current_time())
+        dropped = self.scheduler.drop_holder(holder, current_time(), has_ended)
         if dropped:
             self.log_decision(
-                "holder-dropped", holder=holder, works=dropped, unheard_s=round(unheard_s, 3)
+                "holder-dropped",
+                holder=holder,
+                works=dropped,
+                unheard_s=round(unheard_s, 3),
+                has_ended=has_ended,
             )
         self._flush_task_events()
 
--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -377,9 +377,9 @@
                 self._change_owner(shard, was, shard_owner)
         self.holder.set_owners(shard_owners, self._shard_layout)
 
-    def _drop_holder(self, incarnation: str, unheard_s: float) -> None:
+    def _drop_holder(self, incarnation: str, unheard_s: float, has_ended: bool = False) -> None:
         for owner in self._owner_by_shard.values():
-            owner.drop_holder(incarnation, unheard_s)
+            owner.drop_holder(incarnation, unheard_s, has_ended)
 
     def _change_owner(self, shard: int, was: ShardOwner, shard_owner: ShardOwner) -> None:
         log_event(
@@ -574,7 +574,7 @@
                 unheard_s = self._election.unheard_s(incarnation, current_time())
                 self._election.remove_peer(incarnation)
                 self._reachable_peers.discard(incarnation)
-                self._drop_holder(incarnation, unheard_s)
+                self._drop_holder(incarnation, unheard_s, has_ended=True)
 
     def _handle_work(self, sender: str, message: OwnerMessage) -> None:
         if isinstance(message, CancelWork):
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -87,6 +87,8 @@
         self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
         self._started_until_by_job: dict[JobKey, float] = {}
         self._blocked_by_job_id: dict[str, Work] = {}
+        # Times until which holders out of reach may have a job run by another owner, by holder.
+        self._out_of_reach_by_job_id: dict[str, dict[str, float]] = {}
 
     def note_ended(self, work: Work, now: float) -> None:
         """Record a work item whose tasks are all done."""
@@ -191,6 +193,29 @@
         work = self._blocked_by_job_id.get(job_id)
         return work if work is not None and now < work.safe_at else None
 
+    def note_out_of_reach(self, work: Work, until: float) -> None:
+        """Record that the holder of a work item is out of reach, and may have another owner.
+
+        :param work: the work item.
+        :param until: monotonic time by which every run of that owner has ended, in seconds.
+        """
+        until_by_holder = self._out_of_reach_by_job_id.setdefault(work.job_id, {})
+        until_by_holder[work.holder] = max(until, until_by_holder.get(work.holder, 0.0))
+
+    def is_out_of_reach(self, work: Work, now: float) -> bool:
+        """Return whether a holder out of reach may have a job of the same id run elsewhere."""
+        until_by_holder = self._out_of_reach_by_job_id.get(work.job_id, {})
+        return any(
+            now < until for holder, until in until_by_holder.items() if holder != work.holder
+        )
+
+    def forget_out_of_reach(self, holder: str) -> None:
+        """Forget the jobs of a holder that has ended, or that is heard again."""
+        for job_id, until_by_holder in list(self._out_of_reach_by_job_id.items()):
+            until_by_holder.pop(holder, None)
+            if not until_by_holder:
+                del self._out_of_reach_by_job_id[job_id]
+
     def note_unclaimed_end(self, end: RunEnd, server_id: str, identity: str, now: float) -> None:
         """Record the end of a run that belongs to no known work item.
 
@@ -244,3 +269,8 @@
         self._started_until_by_job = {
             job: until for job, until in self._started_until_by_job.items() if now < until
         }
+        self._out_of_reach_by_job_id = {
+            job_id: until_by_holder
+            for job_id, until_by_holder in self._out_of_reach_by_job_id.items()
+            if now < max(until_by_holder.values())
+        }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -250,8 +250,15 @@
         if blocked is not None:
             work.safe_at = max(work.safe_at, blocked.safe_at)
             work.other_servers = work.other_servers or blocked.other_servers
-        work.ever_started = resumed or self._history.has_started(work.job_id, work.identity)
-        may_run_already = resumed or now < self._settled_at or blocked is not None
+        work.has_other_holder = self._history.is_out_of_reach(work, now)
+        work.ever_started = (
+            resumed
+            or work.has_other_holder
+            or self._history.has_started(work.job_id, work.identity)
+        )
+        may_run_already = (
+            resumed or work.has_other_holder or now < self._settled_at or blocked is not None
+        )
         for task in work.task_by_index.values():
             self._admit_task(work, task, placed_by_index.get(task.index, ""), may_run_already)
         if any(
@@ -308,12 +315,23 @@
                 if run.state in (RunState.STARTING, RunState.RUNNING):
                     run.orphan_until = now + ORPHAN_GRACE_S
 
-    def drop_holder(self, holder: str, now: float) -> int:
-        """Cancel all work items of a process that has ended.
+    def drop_holder(self, holder: str, now: float, has_ended: bool = False) -> int:
+        """Cancel all work items of a process that is out of reach or has ended.
 
+        :param holder: incarnation of the process.
+        :param now: monotonic time, in seconds.
+        :param has_ended: whether it is known to have ended. Otherwise it may submit its work items
+            to another owner, which runs them until their deadlines.
         :returns: the number of cancelled work items.
         """
         self._unconfirmed_holders.discard(holder)
+        if has_ended:
+            self._history.forget_out_of_reach(holder)
+        else:
+            for work in self.work_by_key.values():
+                if work.holder == holder:
+                    until = work.deadline_at + self._longest_lease_s()
+                    self._history.note_out_of_reach(work, until)
         return self._drop_works_of(holder, set(), now)
 
     def cancel_others(self, holder: str, open_keys: Set[WorkKey], now: float) -> int:
@@ -325,6 +343,7 @@
         :returns: the number of cancelled work items.
         """
         self._history.limit_passed_on_of(holder, open_keys, now)
+        self._history.forget_out_of_reach(holder)
         return self._drop_works_of(holder, open_keys, now)
 
     def _drop_works_of(self, holder: str, kept_keys: Set[WorkKey], now: float) -> int:
@@ -1388,6 +1407,10 @@
         if work.task_name(task.index) in self.run_by_task:
             return None
         known = task.earlier_run.over if task.earlier_run is not None else None
+        if work.has_other_holder:
+            if self._history.is_out_of_reach(work, now):
+                return None
+            known = known or RunOver.OTHER_HOLDER_ENDED
         if now >= work.safe_at:
             waited_for = RunOver.EARLIER_LEASES_ENDED if work.resumed else RunOver.HOLDERS_HEARD
             return known or waited_for
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -57,6 +57,9 @@
     HOLDERS_HEARD = "holders-heard"
     """Since this owner took over, the holders have had time to submit their work items to it, and
     none of these names a run of the task."""
+    OTHER_HOLDER_ENDED = "other-holder-ended"
+    """Another holder of the job was out of reach. It has ended or been heard again since, or all
+    runs that it may have had elsewhere are over."""
     START_REJECTED = "start-rejected"
     """Its server has rejected the start order, or the order was not sent."""
     NOT_LISTED = "not-listed"
@@ -121,6 +124,7 @@
     :param late: whether the work item arrived too late to meet its target even without queueing.
     :param ever_started: whether this owner has ordered a run of it, or an earlier owner may have.
     :param resumed: whether it was submitted to an earlier owner before; for the log.
+    :param has_other_holder: whether another holder of its job was out of reach on arrival.
     """
 
     holder: str
@@ -144,6 +148,7 @@
     late: bool = False
     ever_started: bool = False
     resumed: bool = False
+    has_other_holder: bool = False
     task_by_index: dict[int, Task] = field(default_factory=dict)
 
     @property
--- /dev/null
+++ b/packages/dispatch/tests/test_cluster_holders.py
@@ -0,0 +1,36 @@
+"""Jobs whose holder is out of reach, and that clients send again through another process."""
+
+import pytest
+
+from redwingport_testbed.simulation.cluster import LASTING, RESUBMIT_S, Cluster
+
+DOMAINS = (3, 3, 3)
+CUT_S = 6.0
+
+
+def check(cluster: Cluster) -> None:
+    failure = cluster.failure()
+    if failure:
+        pytest.fail(failure, pytrace=False)
+
+
+# Guards against a second run of a job that is sent again through the other side of a cut, while
+# its first holder goes on with another owner and has not noticed that its client is gone.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_job_of_a_holder_out_of_reach_is_not_started_again(seed: int) -> None:
+    cluster = Cluster(seed, DOMAINS, servers=12, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        holder = next(e for e in cluster.entries if e.node.domain != owner.node.domain)
+        for _ in range(4):
+            cluster.submit(LASTING, holder.node.domain, holder)
+        cluster.world.run(0.1)
+        attempts = [attempt for attempt in cluster.attempts if attempt.entry is holder]
+        cluster.cut_domain(holder.node.domain, CUT_S)
+        # The clients lose their connections, and the holder does not notice it.
+        holder.attempts.clear()
+        cluster.world.run(RESUBMIT_S)
+        for attempt in attempts:
+            cluster._send(attempt.job_id, attempt.kind, owner.node.domain, 2)
+        cluster.world.run(CUT_S + 10.0)
+    check(cluster)
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -346,3 +346,69 @@
     )
     assert harness.effects.abandoned == ["job"] * 2
     assert list(harness.scheduler.work_by_key) == [second.key]
+
+
+# Guards against a second run of a job whose first holder is out of reach, and may have it run by
+# another owner until its deadline.
+def test_job_of_a_holder_out_of_reach_waits_until_its_runs_are_over() -> None:
+    harness = SchedulerHarness()
+    harness.submit("job", holder="one", deadline_s=3.0)
+    harness.accept_all()
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.end(harness.effects.started[0], EndKind.STOPPED)
+    harness.submit("job", holder="two", deadline_s=10.0)
+    harness.advance(3.9)
+    assert len(harness.effects.started) == 1
+    harness.advance(0.3)
+    assert len(harness.effects.started) == 2
+
+
+# Guards against clients that wait for the deadline of a job whose holder is known to have ended.
+def test_job_of_a_holder_that_has_ended_is_started_at_once() -> None:
+    harness = SchedulerHarness()
+    harness.submit("job", holder="one", deadline_s=3.0)
+    harness.accept_all()
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.end(harness.effects.started[0], EndKind.STOPPED)
+    harness.submit("job", holder="two", deadline_s=10.0)
+    harness.advance(0.1)
+    assert len(harness.effects.started) == 1
+    harness.scheduler.drop_holder("one", harness.now, has_ended=True)
+    harness.advance(0.1)
+    assert len(harness.effects.started) == 2
+
+
+# Guards against the same wait when the holder is heard again and has ended the job.
+def test_job_that_a_holder_has_ended_out_of_reach_is_started_at_once() -> None:
+    harness = SchedulerHarness()
+    harness.submit("job", holder="one", deadline_s=3.0)
+    harness.accept_all()
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.end(harness.effects.started[0], EndKind.STOPPED)
+    harness.submit("job", holder="two", deadline_s=10.0)
+    harness.scheduler.cancel_others("one", set(), harness.now)
+    harness.advance(0.1)
+    assert len(harness.effects.started) == 2
+
+
+# Guards against a holder that has to wait for itself after a silence.
+def test_holder_that_is_heard_again_goes_on_with_its_job() -> None:
+    harness = SchedulerHarness()
+    work = harness.submit("job", holder="one", deadline_s=3.0)
+    harness.accept_all()
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.end(harness.effects.started[0], EndKind.STOPPED)
+    harness.submit("job", holder="one", deadline_s=3.0, work_id=work.work_id)
+    harness.advance(0.1)
+    assert len(harness.effects.started) == 2
+
+
+# Guards against a refusal, which promises that the job has not run, of one that may run elsewhere.
+def test_job_of_a_holder_out_of_reach_is_not_refused() -> None:
+    harness = SchedulerHarness()
+    harness.submit("job", holder="one", deadline_s=3.0)
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.submit("job", holder="two", deadline_s=1.0)
+    harness.advance(1.0)
+    assert harness.effects.refused == []
+    assert harness.effects.abandoned == ["job"]
