Log the lifetimes of servers with the runs on them

Cause: a server that starts again under its id may carry out orders that were sent to its former lifetime. The logs told neither for which lifetime a run was ordered, nor which one has listed it, nor which one was known when a stop was confirmed, and runs that ended with a restart left no line of their own. So an order that another lifetime has carried out could not be told from a run that was presumed over too early.

Change: task-placed, run-ended, run-vanished and orphan-stopped name `born_ms` of the server; run-presumed-over names the lifetimes of order, list and confirmed stop, and whether the run was accepted. It is also written for runs that end with a restart. Fields are only added.

Result: the new test fails with a KeyError without the fields.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -162,6 +162,7 @@
             "in_time",
             "queued",
             "holder",
+            "born_ms",
             *EARLIER_RUN_FIELDS,
             *OWNER_FIELDS,
         ),
@@ -177,13 +178,27 @@
         _O,
         "a run ended without completing its task, or its task had an earlier run, was handed over "
         "or belongs to no work item",
-        ("task", "run", "server", "how", *OWNER_FIELDS),
+        ("task", "run", "server", "how", "born_ms", *OWNER_FIELDS),
     ),
     LogEvent(
         "run-presumed-over",
         _O,
-        "a run is taken for over without a report of its end",
-        ("task", "run", "server", "after", *OWNER_FIELDS),
+        "a run is taken for over without a report of its end; `accepted` tells whether its server "
+        "is known to have accepted it, the other fields name the lifetime of the server for which "
+        "it was ordered, that has listed it last, that was known when a stop was confirmed, and "
+        "that is known now",
+        (
+            "task",
+            "run",
+            "server",
+            "after",
+            "accepted",
+            "ordered_born_ms",
+            "listed_born_ms",
+            "stopped_born_ms",
+            "born_ms",
+            *OWNER_FIELDS,
+        ),
     ),
     LogEvent(
         "run-stalled",
@@ -201,7 +216,7 @@
         "run-vanished",
         _O,
         "a server no longer lists a run",
-        ("task", "run", "server", *OWNER_FIELDS),
+        ("task", "run", "server", "born_ms", *OWNER_FIELDS),
     ),
     LogEvent(
         "run-adopted",
@@ -213,7 +228,7 @@
         "orphan-stopped",
         _O,
         "a run that no holder claims is stopped",
-        ("task", "run", "server", *OWNER_FIELDS),
+        ("task", "run", "server", "born_ms", *OWNER_FIELDS),
     ),
     LogEvent(
         "work-refused",
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -308,6 +308,7 @@
             in_time=placement.in_time,
             queued=len(self.scheduler.queue),
             holder=work.holder,
+            born_ms=run.ordered_born_ms,
             **earlier,
         )
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -770,6 +770,7 @@
             expected_s=placement.expected_s,
             after=task.after,
             identity=work.identity,
+            ordered_born_ms=server.born_ms,
         )
         task.state = TaskState.ACTIVE
         task.last_run = (run.server_id, run.number)
@@ -842,6 +843,7 @@
         if self._is_known(run):
             run.stop_due_at = 0.0
             run.stop_effective_at = now + max_local_duration_s(self._bounds.stop_s)
+            run.stopped_born_ms = self.server_by_id[run.server_id].born_ms
 
     def handle_not_stopped(self, run: Run, failure: OrderFailure, now: float) -> None:
         """Handle a stop order that was rejected or not answered."""
@@ -964,6 +966,7 @@
         server.lost_run_by_task.clear()
         server.crashed_tasks.clear()
         for run in accepted:
+            self._log_presumed_over(run, RunOver.SERVER_RESTARTED)
             self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
 
@@ -1051,6 +1054,7 @@
             return
         if listed.number != run.number:
             return
+        run.listed_born_ms = self.server_by_id[run.server_id].born_ms
         if not run.accepted_at:
             run.accepted_at = now
             if run.state is RunState.STARTING:
@@ -1091,7 +1095,27 @@
         )
 
     def _log_run(self, event: str, run: Run) -> None:
-        self._effects.log_decision(event, task=run.task_name, run=run.number, server=run.server_id)
+        self._effects.log_decision(
+            event,
+            task=run.task_name,
+            run=run.number,
+            server=run.server_id,
+            born_ms=self.server_by_id[run.server_id].born_ms,
+        )
+
+    def _log_presumed_over(self, run: Run, over: RunOver) -> None:
+        self._effects.log_decision(
+            "run-presumed-over",
+            task=run.task_name,
+            run=run.number,
+            server=run.server_id,
+            after=over,
+            accepted=bool(run.accepted_at),
+            ordered_born_ms=run.ordered_born_ms,
+            listed_born_ms=run.listed_born_ms,
+            stopped_born_ms=run.stopped_born_ms,
+            born_ms=self.server_by_id[run.server_id].born_ms,
+        )
 
     def _relocate_run(self, run: Run, now: float) -> None:
         """Stop a run; its task is restarted as soon as the run has certainly ended."""
@@ -1118,6 +1142,7 @@
             ordered_at=now,
             accepted_at=now,
             orphan_until=now + ORPHAN_GRACE_S,
+            listed_born_ms=server.born_ms,
         )
         self._history.note_started(job_id_of(task_name), "", now)
         known = self.run_by_task.get(task_name)
@@ -1243,6 +1268,7 @@
             run=end.number,
             server=server.listing.server_id,
             how=end.kind.name,
+            born_ms=server.born_ms,
         )
 
     def _learn_speed(self, server: ServerState, run: Run, now: float) -> None:
@@ -1354,13 +1380,7 @@
         stopped = bool(run.stop_effective_at) and now >= run.stop_effective_at
         if stopped or now >= server.lease_ends_at:
             over = RunOver.STOP_CONFIRMED if stopped else RunOver.LEASE_ENDED
-            self._effects.log_decision(
-                "run-presumed-over",
-                task=run.task_name,
-                run=run.number,
-                server=run.server_id,
-                after=over,
-            )
+            self._log_presumed_over(run, over)
             self._forget_run(run, over)
             self._requeue(run, now)
         elif run.stop_due_at and now >= run.stop_due_at:
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -221,6 +221,10 @@
     :param identity: identity of its job; empty for a run that no process has claimed.
     :param lease_limit_at: monotonic time beyond which its lease must not extend while it belongs
         to no work item, in seconds: another owner may have the work item by now.
+    :param ordered_born_ms: start of the lifetime of the server that was known when the run was
+        ordered, in Unix milliseconds; 0 when unknown, as are the two below; for the log.
+    :param listed_born_ms: start of the lifetime that has listed the run last.
+    :param stopped_born_ms: start of the lifetime that was known when a stop was confirmed.
     """
 
     task_name: str
@@ -243,6 +247,9 @@
     released_work: Work | None = None
     identity: str = ""
     lease_limit_at: float = 0.0
+    ordered_born_ms: int = 0
+    listed_born_ms: int = 0
+    stopped_born_ms: int = 0
 
     def remaining_s(self, now: float) -> float:
         """Return the expected remaining run time, in seconds; 0 when the run is overdue."""
--- a/packages/dispatch/tests/test_events.py
+++ b/packages/dispatch/tests/test_events.py
@@ -27,7 +27,7 @@
 ADAPTER = Path(__file__).parents[3] / "platform" / "src"
 HTTP_SERVER = Path(redwingport_entry.__file__).parent / "http_server.py"
 WRITERS = {"log_event", "log_decision", "_log_moved", "_log_run"}
-RUN_FIELDS = ("task", "run", "server")
+RUN_FIELDS = ("task", "run", "server", "born_ms")
 # Fields that are passed as a dictionary, by the name of the variable.
 FIELDS_BY_VARIABLE = {
     ("owner.py", "earlier"): EARLIER_RUN_FIELDS,
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -710,3 +710,23 @@
     harness.advance(0.3)
     assert harness.effects.stopped
     assert harness.scheduler.lease_limit_at(harness.scheduler.server_by_id["s0"]) == 0.0
+
+
+# Guards against logs that do not tell whether a run was ordered for, listed by and stopped at the
+# same lifetime of its server.
+def test_run_that_is_presumed_over_names_the_lifetimes_of_its_server() -> None:
+    harness = SchedulerHarness(servers=1)
+    report = ServerReport(harness.clock_ms, born_ms=1)
+    harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
+    harness.submit("job", deadline_s=10)
+    harness.accept_all()
+    [run] = harness.effects.started
+    report = ServerReport(
+        harness.clock_ms, born_ms=2, runs=(RunListing(run.task_name, run.number, 10),)
+    )
+    harness.scheduler.handle_report("s0", report, harness.now, [], harness.now)
+    harness.scheduler.handle_stopped(run, harness.now)
+    harness.advance(0.2)
+    [presumed] = harness.effects.fields_by_event["run-presumed-over"]
+    lifetimes = ("ordered_born_ms", "listed_born_ms", "stopped_born_ms", "born_ms")
+    assert [presumed[name] for name in lifetimes] == [1, 2, 2, 2]
