Keep runs that the next lifetime of a server has accepted

Cause: a server that is out of reach for less than the timeout of a waiting renewal can start again, accept a start and only then answer that renewal with its new `born`. handle_restart took every accepted run for one that the restart has ended: it blamed the task for a crash and queued it, while it ran at the new lifetime.

Change: handle_restart gets the first report of the new lifetime and the time at which it was asked for. A run is over if it was accepted before that and is neither listed nor among the ends. The others are settled by the next report, which is requested at once, without a wait and without extending the lease.

Evidence: both cases of the new test failed before: with a list of before the start, the task was started again (two starts); with the run in the list, it was forgotten, found again as a run of another owner, and `server-crashed` blamed it.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -952,20 +952,43 @@
         self._unblock_tasks(now)
         self._request_dispatch(now)
 
-    def handle_restart(self, server_id: str, now: float) -> None:
-        """Handle a restart of a server, which ended all accepted runs there.
+    def handle_restart(
+        self,
+        server_id: str,
+        now: float,
+        report: ServerReport | None = None,
+        sent_at: float = math.inf,
+    ) -> None:
+        """Handle a restart of a server, which ended the runs that its former lifetime accepted.
 
         A start order that was not answered yet may reach the restarted server, so its run is kept.
+        So is one that was accepted after the report was asked for: either lifetime may have
+        accepted it, and the next report tells.
+
+        :param server_id: id of the server.
+        :param now: monotonic time, in seconds.
+        :param report: first report of the new lifetime, not handled yet; None for one that names
+            no run.
+        :param sent_at: monotonic time at which that report was asked for, in seconds.
         """
         server = self.server_by_id.get(server_id)
         if server is None:
             return
-        accepted = [run for run in server.run_by_task.values() if run.accepted_at]
-        server.lost_run_by_task.update({run.task_name: run for run in accepted})
+        named: set[tuple[str, int]] = set()
+        if report is not None:
+            named.update((listed.task, listed.number) for listed in report.runs)
+            named.update((end.task, end.number) for end in report.ends)
+        ended = []
+        for run in server.run_by_task.values():
+            if (run.task_name, run.number) in named or run.accepted_at >= sent_at:
+                server.lost_run_by_task.pop(run.task_name, None)
+            elif run.accepted_at:
+                ended.append(run)
+        server.lost_run_by_task.update({run.task_name: run for run in ended})
         self._note_crash(server, "restarted", now)
         server.lost_run_by_task.clear()
         server.crashed_tasks.clear()
-        for run in accepted:
+        for run in ended:
             self._log_presumed_over(run, RunOver.SERVER_RESTARTED)
             self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -170,7 +170,7 @@
             )
         if report.born_ms != self._born_ms and report.born_ms:
             if self._born_ms:
-                self._handle_restart(report, now)
+                self._handle_restart(report, sent_at, now)
             self._born_ms = report.born_ms
         self._lease.observe_clock(report.clock_ms, sent_at, now)
         new_ends: list[RunEnd] = []
@@ -181,7 +181,7 @@
             self._acknowledged = new_ends[-1].sequence
         self._scheduler.handle_report(self._server_id, report, sent_at, new_ends, now)
 
-    def _handle_restart(self, report: ServerReport, now: float) -> None:
+    def _handle_restart(self, report: ServerReport, sent_at: float, now: float) -> None:
         log_event(
             logger,
             logging.WARNING,
@@ -192,7 +192,9 @@
         )
         self._acknowledged = 0
         self._lease.reset_clock()
-        self._scheduler.handle_restart(self._server_id, now)
+        # The next renewal returns at once. It tells which recently accepted runs have ended.
+        self._may_extend = False
+        self._scheduler.handle_restart(self._server_id, now, report, sent_at)
 
     async def _handle_renewal_error(self, error: OrderError) -> None:
         if error.failure is OrderFailure.FENCED:
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -1,5 +1,8 @@
 """Renewals of a server's lease: when they extend it, and when they must not."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import anyio
 import pytest
 from result import Err, Ok, Result
@@ -8,6 +11,7 @@
 from redwingport_dispatch.exceptions import OrderError, OrderFailure
 from redwingport_dispatch.interfaces import RunListing, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
+from redwingport_dispatch.ownership.terms import new_term
 from redwingport_dispatch.sessions import ServerSession
 
 pytestmark = pytest.mark.anyio
@@ -187,3 +191,146 @@
     assert client.started == []
     assert harness.scheduler.run_by_task.get("job.0.0.0") is None
     assert not harness.scheduler.server_by_id["s0"].suspect
+
+
+class FakeServer:
+    """Carry out orders as a backend server does, and start again on request.
+
+    Calls wait at the gate of their kind, if there is one, before they are carried out.
+    """
+
+    def __init__(self) -> None:
+        self.born_ms = 0
+        self.accepts: list[StartOrder] = []
+        self.tokens: list[int] = []
+        self.loses_starts = False
+        self.lost: list[StartOrder] = []
+        self.renewal_gate: anyio.Event | None = None
+        self.start_gate: anyio.Event | None = None
+        self.stop_answer_gate: anyio.Event | None = None
+        self.reports_before_gate = False
+        self.restart()
+
+    def restart(self) -> None:
+        """Start again under the same id: nothing of the former lifetime is known."""
+        self.born_ms += 1
+        self._started_at = anyio.current_time()
+        self._token = 0
+        self._run_by_task: dict[str, int] = {}
+        self._rejected_by_task: dict[str, int] = {}
+
+    def carry_out(self, order: StartOrder) -> Result[int, OrderError]:
+        """Carry out a start order, however late."""
+        if order.token < self._token:
+            return self._fail(OrderFailure.FENCED)
+        self._token = order.token
+        if order.number <= self._rejected_by_task.get(order.task, 0):
+            return self._fail(OrderFailure.OLD_RUN)
+        self._run_by_task[order.task] = order.number
+        self.accepts.append(order)
+        return Ok(self._clock_ms)
+
+    @property
+    def _clock_ms(self) -> int:
+        return 1 + round((anyio.current_time() - self._started_at) * 1000)
+
+    @staticmethod
+    def _fail(failure: OrderFailure) -> Err[OrderError]:
+        return Err(OrderError("order", "s0", failure.name, failure))
+
+    def _report(self) -> ServerReport:
+        runs = tuple(RunListing(task, number, 10) for task, number in self._run_by_task.items())
+        return ServerReport(self._clock_ms, self.born_ms, runs)
+
+    async def renew(
+        self,
+        token: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+        deadline: float,
+    ) -> Result[ServerReport, OrderError]:
+        await anyio.sleep(0.01)
+        report = self._report()
+        if self.renewal_gate is not None:
+            await self.renewal_gate.wait()
+        if not self.reports_before_gate:
+            report = self._report()
+        if token < self._token:
+            return self._fail(OrderFailure.FENCED)
+        self._token = token
+        self.tokens.append(token)
+        return Ok(report)
+
+    async def start(self, order: StartOrder, deadline: float) -> Result[int, OrderError]:
+        if self.loses_starts:
+            self.lost.append(order)
+            return self._fail(OrderFailure.NO_ANSWER)
+        if self.start_gate is not None:
+            await self.start_gate.wait()
+        return self.carry_out(order)
+
+    async def stop(
+        self, task: str, number: int, token: int, deadline: float
+    ) -> Result[int, OrderError]:
+        if token < self._token:
+            return self._fail(OrderFailure.FENCED)
+        self._token = token
+        self._rejected_by_task[task] = max(self._rejected_by_task.get(task, 0), number)
+        if self._run_by_task.get(task, 0) <= number:
+            self._run_by_task.pop(task, None)
+        clock_ms = self._clock_ms
+        if self.stop_answer_gate is not None:
+            await self.stop_answer_gate.wait()
+        return Ok(clock_ms)
+
+    async def aclose(self) -> None:
+        pass
+
+
+@asynccontextmanager
+async def open_session(
+    harness: SchedulerHarness, server: FakeServer, notes: list[int] | None = None
+) -> AsyncIterator[ServerSession]:
+    """Run a session with a server that has just been acquired."""
+    noted = notes if notes is not None else []
+    session = ServerSession(
+        harness.scheduler.server_by_id["s0"],
+        server,
+        harness.scheduler,
+        new_term(1_700_000_000_000, 5, 0),
+        LEASE_S,
+        lambda: False,
+        noted.append,
+        Metrics(),
+    )
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(session.run, task_group)
+        await anyio.sleep(0.05)
+        harness.now = anyio.current_time()
+        yield session
+        task_group.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: the next lifetime of its server has accepted its run
+# before a report shows the restart, and the run was taken for one that the restart has ended.
+@pytest.mark.parametrize("is_listed", [True, False])
+async def test_run_accepted_by_the_next_lifetime_goes_on(is_listed: bool) -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    async with open_session(harness, server) as session:
+        gate = server.renewal_gate = anyio.Event()
+        server.reports_before_gate = not is_listed
+        server.restart()
+        await anyio.sleep(0.03)
+        work = harness.submit("job", deadline_s=60)
+        [run] = harness.effects.started
+        session.start(run, work)
+        await anyio.sleep(0.01)
+        assert run.accepted_at
+        gate.set()
+        await anyio.sleep(0.05)
+        harness.now = anyio.current_time()
+        harness.advance(0)
+        assert harness.effects.started == [run]
+        assert harness.scheduler.run_by_task[run.task_name] is run
+        assert "server-crashed" not in harness.effects.events
