Stop a run again when its server restarts after the stop

Cause: a run whose start got no answer is presumed over when a stop is confirmed. The confirmation binds one lifetime of the server. The next one knows nothing of it, and carries out the start if that arrives late. The same holds for a confirmation that arrives after the report of the next lifetime.

Change: after a restart the confirmed stops of runs that may still arrive are void, and the orders are sent again at once. A confirmation of an order from before the restart counts as no answer.

Evidence: both new tests failed before: no second stop was sent to the next lifetime, and the late confirmation set the time at which the run was presumed over.

What remains: a run that was presumed over before its server restarts.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -961,7 +961,8 @@
     ) -> None:
         """Handle a restart of a server, which ended the runs that its former lifetime accepted.
 
-        A start order that was not answered yet may reach the restarted server, so its run is kept.
+        A start order that was not answered yet may reach the restarted server, so its run is kept,
+        and stopped again if it was being stopped.
         So is one that was accepted after the report was asked for: either lifetime may have
         accepted it, and the next report tells.
 
@@ -992,6 +993,12 @@
             self._log_presumed_over(run, RunOver.SERVER_RESTARTED)
             self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
+        for run in server.run_by_task.values():
+            if run.state in (RunState.LOST, RunState.STOPPING):
+                # A stop that the former lifetime has confirmed does not bind this one.
+                run.stop_effective_at = 0.0
+                run.stop_due_at = now + STOP_RETRY_S
+                self._effects.stop_run(run)
 
     def _note_crash(self, server: ServerState, evidence: str, now: float) -> None:
         """Record a crash of a server under the tasks that were there; nothing if it drained."""
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -267,12 +267,16 @@
 
     async def _stop(self, run: Run) -> None:
         now = current_time()
+        born_ms = self._born_ms
         result = await self._client.stop(
             run.task_name, run.number, self._token, now + ANSWER_TIMEOUT_S
         )
         self._metrics.observe_order("stop", result)
         if isinstance(result, Err):
             self._scheduler.handle_not_stopped(run, result.err_value.failure, current_time())
+        elif self._born_ms != born_ms:
+            # The former lifetime may have confirmed it.
+            self._scheduler.handle_not_stopped(run, OrderFailure.NO_ANSWER, current_time())
         else:
             self._scheduler.handle_stopped(run, current_time())
 
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -334,3 +334,52 @@
         assert harness.effects.started == [run]
         assert harness.scheduler.run_by_task[run.task_name] is run
         assert "server-crashed" not in harness.effects.events
+
+
+# Guards against a task that runs twice: its start was not answered, a lifetime of the server has
+# confirmed the stop, and the next lifetime, which knows nothing of that, carries out the start.
+async def test_stop_confirmed_by_the_former_lifetime_is_sent_to_the_next_one() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    server.loses_starts = True
+    async with open_session(harness, server) as session:
+        work = harness.submit("job", deadline_s=60)
+        [run] = harness.effects.started
+        session.start(run, work)
+        await anyio.sleep(0.01)
+        session.stop(run)
+        await anyio.sleep(0.01)
+        assert run.stop_effective_at
+        harness.effects.stopped.clear()
+        server.restart()
+        await anyio.sleep(0.04)
+        assert harness.effects.stopped == [run]
+        harness.now = anyio.current_time()
+        harness.advance(0.2)
+        assert harness.effects.started == [run]
+        session.stop(run)
+        await anyio.sleep(0.02)
+        assert isinstance(server.carry_out(server.lost[0]), Err)
+        harness.now = anyio.current_time()
+        harness.advance(0.2)
+        assert [again.number for again in harness.effects.started] == [1, 2]
+
+
+# Guards against a task that runs twice: the former lifetime's confirmation of a stop arrives after
+# the report of the next lifetime, which may still carry out the start.
+async def test_confirmed_stop_of_the_former_lifetime_that_arrives_late_does_not_count() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    server.loses_starts = True
+    async with open_session(harness, server) as session:
+        work = harness.submit("job", deadline_s=60)
+        [run] = harness.effects.started
+        session.start(run, work)
+        await anyio.sleep(0.01)
+        gate = server.stop_answer_gate = anyio.Event()
+        session.stop(run)
+        await anyio.sleep(0.01)
+        server.restart()
+        await anyio.sleep(0.05)
+        gate.set()
+        await anyio.sleep(0.01)
+        assert not run.stop_effective_at
+        assert run.stop_due_at
