Raise the fencing token when a server has restarted

Cause: the clock and the highest fencing token that a server has seen start anew with each lifetime, and its id stays. A start or a renewal for the former lifetime that arrives late is therefore in time and not fenced at the next one, also a start that was presumed over by then.

Change: when a report shows another lifetime, the session raises its token by one millisecond of the clock part, which keeps the tag of the process, and uses it from the next renewal on. So the lifetime refuses what was sent to its predecessor. A start refused in this way is no sign of another owner: it was sent with a lower token than the session uses by now (OrderFailure.OUTDATED), so its task is queued again, placement is not paused, and the server stays acquired.

Evidence: without the change, the fake server of the new tests accepted the late start, and the one that was under way during the restart.

What remains: a late order that arrives before the first renewal with the new token.

--- a/packages/dispatch/src/redwingport_dispatch/exceptions.py
+++ b/packages/dispatch/src/redwingport_dispatch/exceptions.py
@@ -10,6 +10,8 @@
 
     FENCED = enum.auto()
     """The server has seen a higher fencing token: another process owns it."""
+    OUTDATED = enum.auto()
+    """The server has seen a higher fencing token, and this owner uses a higher one by now."""
     OLD_RUN = enum.auto()
     """The run number is not higher than that of a run that has ended on the server."""
     LATE = enum.auto()
--- a/packages/dispatch/src/redwingport_dispatch/ownership/terms.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/terms.py
@@ -23,6 +23,14 @@
     return min(term, MAX_TERM)
 
 
+def next_token(token: int) -> int:
+    """Return the next token of the same process, for another lifetime of a server.
+
+    :param token: the token that the process has used so far.
+    """
+    return min(token + (1 << TAG_BITS), MAX_TERM)
+
+
 def raise_token(token: int, previous_raises: int) -> int:
     """Return a raised token that should exceed an unknown higher one.
 
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -12,7 +12,7 @@
 from redwingport_dispatch.interfaces import RunEnd, ServerClient, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.leases import MIN_START_LEASE_SHARE, Lease
-from redwingport_dispatch.ownership.terms import raise_token
+from redwingport_dispatch.ownership.terms import next_token, raise_token
 from redwingport_dispatch.scheduling.scheduler import Scheduler
 from redwingport_dispatch.scheduling.servers import ServerState
 from redwingport_dispatch.scheduling.work import Run, Work
@@ -191,6 +191,9 @@
             was_born_ms=self._born_ms,
         )
         self._acknowledged = 0
+        # The new lifetime has seen no token. A higher one lets it refuse the orders that were sent
+        # to its predecessor and may still arrive.
+        self._use_token(next_token(self._token))
         self._lease.reset_clock()
         # The next renewal returns at once. It tells which recently accepted runs have ended.
         self._may_extend = False
@@ -230,13 +233,16 @@
             contests=contests,
         )
         if contests:
-            self._token = raise_token(self._token, self._raise_count)
+            self._use_token(raise_token(self._token, self._raise_count))
             self._raise_count += 1
-            self._note_token(self._token)
         else:
             self._scheduler.handle_yielded(self._server_id)
             await anyio.sleep(YIELD_RETRY_S)
 
+    def _use_token(self, token: int) -> None:
+        self._token = token
+        self._note_token(token)
+
     async def _start(self, run: Run, work: Work) -> None:
         now = current_time()
         # Looked at again, as the process may have been paused since the task was placed.
@@ -260,7 +266,10 @@
         self._metrics.observe_order("start", result, answered_at - now)
         if isinstance(result, Err):
             self._log_start_failure(run, work, result)
-            self._scheduler.handle_not_started(run, result.err_value.failure, answered_at)
+            failure = result.err_value.failure
+            if failure is OrderFailure.FENCED and order.token < self._token:
+                failure = OrderFailure.OUTDATED
+            self._scheduler.handle_not_started(run, failure, answered_at)
         else:
             self._lease.observe_clock(result.ok_value, now, answered_at)
             self._scheduler.handle_started(run, result.ok_value, answered_at)
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -11,7 +11,7 @@
 from redwingport_dispatch.exceptions import OrderError, OrderFailure
 from redwingport_dispatch.interfaces import RunListing, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
-from redwingport_dispatch.ownership.terms import new_term
+from redwingport_dispatch.ownership.terms import TAG_BITS, new_term
 from redwingport_dispatch.sessions import ServerSession
 
 pytestmark = pytest.mark.anyio
@@ -383,3 +383,40 @@
         await anyio.sleep(0.01)
         assert not run.stop_effective_at
         assert run.stop_due_at
+
+
+# Guards against a task that runs twice: a start that was presumed over reaches the next lifetime
+# of its server, whose clock takes it for one in time.
+async def test_late_start_for_the_former_lifetime_is_fenced_by_the_next_one() -> None:
+    harness, server, notes = SchedulerHarness(servers=1), FakeServer(), list[int]()
+    server.loses_starts = True
+    async with open_session(harness, server, notes) as session:
+        work = harness.submit("job", deadline_s=60)
+        session.start(harness.effects.started[0], work)
+        await anyio.sleep(0.01)
+        server.restart()
+        await anyio.sleep(0.05)
+        assert isinstance(server.carry_out(server.lost[0]), Err)
+    first, raised = server.tokens[0], server.tokens[-1]
+    assert notes == [raised]
+    assert raised > first
+    assert raised % (1 << TAG_BITS) == first % (1 << TAG_BITS)
+
+
+# Guards against a server that is left unused: it has refused an order that was sent with the lower
+# token from before its restart, which was taken for the word of another owner.
+async def test_order_with_the_token_of_the_former_lifetime_is_sent_again() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    async with open_session(harness, server) as session:
+        work = harness.submit("job", deadline_s=60)
+        gate = server.start_gate = anyio.Event()
+        session.start(harness.effects.started[0], work)
+        await anyio.sleep(0.01)
+        server.restart()
+        await anyio.sleep(0.05)
+        gate.set()
+        await anyio.sleep(0.01)
+        assert server.accepts == []
+        assert harness.scheduler.server_by_id["s0"].acquired
+        assert "owner-challenged" not in harness.effects.events
+        assert [run.number for run in harness.effects.started] == [1, 2]
