Keep the raised token when a session is opened again

Callers would see a server unused for half a second and its tasks started elsewhere, after it was found at another address.

Cause: the raised token was kept by the session. The one that is opened for the new address began with the term, which the server refuses once it has seen a higher token, as if another owner had fenced it; and orders of the earlier session, sent with that token, were no longer told from its own.

Change: the state of the server holds the raised token, and a session starts from it.

Evidence: without the change, the server of the new test refused each renewal of the second session.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -37,6 +37,8 @@
         ended, in seconds.
     :param born_ms: Unix time of the start of the lifetime that was last in contact, in
         milliseconds; 0 when unknown.
+    :param token: highest fencing token that this owner has raised for the server; 0 if it uses its
+        term.
     :param lost_run_by_task: runs that were on the server when contact was lost, by task name,
         including those presumed over since; empty while it answers.
     :param crashed_tasks: tasks under which a crash of the current lifetime is recorded.
@@ -60,6 +62,7 @@
     gone_at: float = 0.0
     lease_ends_at: float = 0.0
     born_ms: int = 0
+    token: int = 0
     lost_run_by_task: dict[str, Run] = field(default_factory=dict)
     crashed_tasks: set[str] = field(default_factory=set)
     refused_since: float = 0.0
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -50,7 +50,7 @@
     :param server: state of the server in the scheduler.
     :param client: client of the server.
     :param scheduler: scheduler that receives the reports of the server.
-    :param term: term of this owner, which is its first token.
+    :param term: term of this owner, which is its first token for a server.
     :param lease_s: maximum duration that the server allows for a lease, in seconds.
     :param may_contest: tells whether this owner may raise its token above that of another owner.
     :param note_token: called with each raised token.
@@ -72,7 +72,8 @@
         self._server_id = server.listing.server_id
         self._client = client
         self._scheduler = scheduler
-        self._token = term
+        # An earlier session may have raised the token.
+        self._token = max(term, server.token)
         self._raise_count = 0
         self._lease_s = lease_s
         self._lease = Lease(lease_s)
@@ -240,7 +241,7 @@
             await anyio.sleep(YIELD_RETRY_S)
 
     def _use_token(self, token: int) -> None:
-        self._token = token
+        self._token = self._server.token = token
         self._note_token(token)
 
     async def _start(self, run: Run, work: Work) -> None:
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -420,3 +420,16 @@
         assert harness.scheduler.server_by_id["s0"].acquired
         assert "owner-challenged" not in harness.effects.events
         assert [run.number for run in harness.effects.started] == [1, 2]
+
+
+# Guards against orders that a server refuses, or that are mixed up with those for its former
+# lifetime, after it was found at another address.
+async def test_reopened_session_goes_on_with_the_raised_token() -> None:
+    harness, server, notes = SchedulerHarness(servers=1), FakeServer(), list[int]()
+    async with open_session(harness, server, notes):
+        server.restart()
+        await anyio.sleep(0.05)
+    server.tokens.clear()
+    async with open_session(harness, server):
+        pass
+    assert set(server.tokens) == set(notes)
