Count the leases of a restarted server from the arrival of orders

Cause: the end of a lease was counted from the sending of the order, which holds while its end is a time on the clock of the lifetime that carries it out. The next lifetime cuts the lease to its maximum duration from the arrival, which is as late as the timeout of an answer (0.15 s) for an order that was answered, and later for others.

Change: if the clock in the answer to a start is behind the earliest time that the clock of the known lifetime can show, the lease counts from the arrival of the answer. When a report shows a restart, and at the first report after an order with the raised token, it counts from the report, as earlier orders may have arrived until then. Nothing changes without a restart.

--- a/packages/dispatch/src/redwingport_dispatch/ownership/leases.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/leases.py
@@ -65,14 +65,35 @@
         :returns: end of the lease on the server's clock, in milliseconds.
         """
         duration_s = min(self._lease_s, max(0.0, limit_at - now))
-        # The server's clock may run slow, so that less time has passed there.
-        elapsed_s = max(0.0, now - self._clock_read_at) * (1 - CLOCK_RATE_ERROR)
-        until_ms = self._clock_ms + int((elapsed_s + duration_s) * 1000)
+        until_ms = self._clock_ms + int((self._elapsed_s(now) + duration_s) * 1000)
         # The server limits a lease to its maximum duration when the order arrives, which is later
         # than now.
         self.ends_at = max(self.ends_at, now + max_local_duration_s(duration_s))
         return until_ms
 
+    def earliest_clock_ms(self, now: float) -> int:
+        """Return the earliest time that the server's clock can show, in milliseconds.
+
+        An earlier one is from a later lifetime of the server.
+
+        :param now: monotonic time, in seconds.
+        """
+        return self._clock_ms + int(self._elapsed_s(now) * 1000)
+
+    def count_from(self, arrived_at: float) -> None:
+        """Count a lease of full duration from the latest time at which its order arrived.
+
+        The end that was ordered is no limit when it was a time on the clock of another lifetime.
+
+        :param arrived_at: monotonic time, in seconds.
+        """
+        self.ends_at = max(self.ends_at, arrived_at + max_local_duration_s(self._lease_s))
+
+    def _elapsed_s(self, now: float) -> float:
+        """Return the least time that has passed on the server's clock since its reading."""
+        # It may run slow.
+        return max(0.0, now - self._clock_read_at) * (1 - CLOCK_RATE_ERROR)
+
     def reset_clock(self) -> None:
         """Discard the clock reading after the server has restarted."""
         self._clock_ms = 0
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -75,6 +75,8 @@
         # An earlier session may have raised the token.
         self._token = max(term, server.token)
         self._raise_count = 0
+        # Whether no renewal with the token for the present lifetime has been answered yet.
+        self._token_is_new = False
         self._lease_s = lease_s
         self._lease = Lease(lease_s)
         self._may_contest = may_contest
@@ -169,6 +171,11 @@
                 runs=len(report.runs),
                 token=self._token,
             )
+        if self._token_is_new:
+            # Orders to the former lifetime may have arrived until now.
+            self._token_is_new = False
+            self._lease.count_from(now)
+            self._note_lease_end()
         if report.born_ms != self._born_ms and report.born_ms:
             if self._born_ms:
                 self._handle_restart(report, sent_at, now)
@@ -196,9 +203,12 @@
         # to its predecessor and may still arrive.
         self._use_token(next_token(self._token))
         self._lease.reset_clock()
+        self._token_is_new = True
         # The next renewal returns at once. It tells which recently accepted runs have ended.
         self._may_extend = False
         self._scheduler.handle_restart(self._server_id, now, report, sent_at)
+        self._lease.count_from(now)
+        self._note_lease_end()
 
     async def _handle_renewal_error(self, error: OrderError) -> None:
         if error.failure is OrderFailure.FENCED:
@@ -254,6 +264,7 @@
             self._log_start_failure(run, work, Err(error))
             self._scheduler.handle_not_started(run, error.failure, now)
             return
+        earliest_ms = self._lease.earliest_clock_ms(now)
         order = StartOrder(
             task=run.task_name,
             number=run.number,
@@ -272,6 +283,9 @@
                 failure = OrderFailure.OUTDATED
             self._scheduler.handle_not_started(run, failure, answered_at)
         else:
+            if result.ok_value < earliest_ms:
+                self._lease.count_from(answered_at)
+                self._note_lease_end()
             self._lease.observe_clock(result.ok_value, now, answered_at)
             self._scheduler.handle_started(run, result.ok_value, answered_at)
 
--- a/packages/dispatch/tests/test_leases.py
+++ b/packages/dispatch/tests/test_leases.py
@@ -50,3 +50,24 @@
     ends_at = lease.ends_at
     lease.extend(11.0)
     assert lease.ends_at == ends_at
+
+
+# Guards against a lease that is taken for over too early: it was ordered on the clock of a former
+# lifetime, so that only its maximum duration from the arrival of the order limits it.
+@given(
+    rate=st.floats(1 - CLOCK_RATE_ERROR, 1.0),
+    order_flight_s=st.floats(0, 0.15),
+    answer_flight_s=st.floats(0, 0.15),
+)
+def test_lease_for_a_former_lifetime_ends_no_later_than_counted_from_the_answer(
+    rate: float, order_flight_s: float, answer_flight_s: float
+) -> None:
+    lease = Lease(LEASE_S)
+    lease.observe_clock(5000, 10.0, 10.0)
+    until_ms = lease.extend(10.2)
+    arrived_at = 10.2 + order_flight_s
+    clock_ms = 600
+    assert clock_ms < lease.earliest_clock_ms(10.2)
+    lease.count_from(arrived_at + answer_flight_s)
+    granted_s = min(until_ms - clock_ms, LEASE_S * 1000) / 1000
+    assert lease.ends_at >= arrived_at + granted_s / rate
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -11,6 +11,7 @@
 from redwingport_dispatch.exceptions import OrderError, OrderFailure
 from redwingport_dispatch.interfaces import RunListing, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
+from redwingport_dispatch.ownership.leases import CLOCK_RATE_ERROR
 from redwingport_dispatch.ownership.terms import TAG_BITS, new_term
 from redwingport_dispatch.sessions import ServerSession
 
@@ -433,3 +434,48 @@
     async with open_session(harness, server):
         pass
     assert set(server.tokens) == set(notes)
+
+
+# Guards against a run that outlives its lease: the next lifetime of its server has accepted it,
+# and reckons the lease from the arrival of the order.
+async def test_lease_of_a_run_accepted_by_the_next_lifetime_counts_from_its_answer() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    async with open_session(harness, server) as session:
+        await anyio.sleep(0.3)
+        harness.now = anyio.current_time()
+        server.renewal_gate = anyio.Event()
+        await anyio.sleep(0.02)
+        work = harness.submit("job", deadline_s=60)
+        [run] = harness.effects.started
+        gate = server.start_gate = anyio.Event()
+        session.start(run, work)
+        await anyio.sleep(0.12)
+        server.restart()
+        accepted_at = anyio.current_time()
+        gate.set()
+        await anyio.sleep(0.01)
+        assert run.accepted_at
+        lease_ends_at = harness.scheduler.server_by_id["s0"].lease_ends_at
+        assert lease_ends_at >= accepted_at + LEASE_S / (1 - CLOCK_RATE_ERROR)
+
+
+# Guards against a run that outlives its lease: the next lifetime of its server has carried out the
+# unanswered start before its first report, and is cut off after that.
+async def test_lease_of_a_late_run_counts_from_the_report_of_the_next_lifetime() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    server.loses_starts = True
+    async with open_session(harness, server) as session:
+        work = harness.submit("job", deadline_s=60)
+        session.start(harness.effects.started[0], work)
+        await anyio.sleep(0.05)
+        gate = server.renewal_gate = anyio.Event()
+        await anyio.sleep(0.13)
+        server.restart()
+        server.carry_out(server.lost[0])
+        accepted_at = anyio.current_time()
+        server.renewal_gate = anyio.Event()
+        gate.set()
+        await anyio.sleep(0.02)
+        assert harness.effects.started[0].accepted_at
+        lease_ends_at = harness.scheduler.server_by_id["s0"].lease_ends_at
+        assert lease_ends_at >= accepted_at + LEASE_S / (1 - CLOCK_RATE_ERROR)
