Accept a server clock that reads zero or less

Callers would see all jobs of a shard wait for its next owner: the owner failed.

Cause: readings of a server's clock of zero or below were taken for unknown. A report with such a reading still made the server usable. The first start there was reckoned from a reading at minus infinity, and the OverflowError ended the owner. Clocks start anew with a lifetime, so the first report may well carry a zero.

Change: each reading of a report counts. Only an answer to a start whose body gives no time is left out.

Evidence: the new test failed with "cannot convert float infinity to integer".

--- a/packages/dispatch/src/redwingport_dispatch/ownership/leases.py
+++ b/packages/dispatch/src/redwingport_dispatch/ownership/leases.py
@@ -52,7 +52,7 @@
         :param sent_at: monotonic time at which the call was sent, in seconds.
         :param received_at: monotonic time at which its answer arrived, in seconds.
         """
-        if clock_ms <= 0 or sent_at < self._clock_read_at:
+        if sent_at < self._clock_read_at:
             return
         self._clock_ms = clock_ms
         self._clock_read_at = received_at
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -286,7 +286,8 @@
             if result.ok_value < earliest_ms:
                 self._lease.count_from(answered_at)
                 self._note_lease_end()
-            self._lease.observe_clock(result.ok_value, now, answered_at)
+            if result.ok_value:
+                self._lease.observe_clock(result.ok_value, now, answered_at)
             self._scheduler.handle_started(run, result.ok_value, answered_at)
 
     async def _stop(self, run: Run) -> None:
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -479,3 +479,29 @@
         assert harness.effects.started[0].accepted_at
         lease_ends_at = harness.scheduler.server_by_id["s0"].lease_ends_at
         assert lease_ends_at >= accepted_at + LEASE_S / (1 - CLOCK_RATE_ERROR)
+
+
+# Guards against an owner that fails with an OverflowError: a server that has just started reports
+# zero as the time of its clock.
+async def test_task_is_started_on_a_server_whose_clock_reads_zero() -> None:
+    harness = SchedulerHarness(servers=1)
+    client = ScriptedClient([Ok(ServerReport(0, born_ms=1))])
+    session = ServerSession(
+        harness.scheduler.server_by_id["s0"],
+        client,
+        harness.scheduler,
+        1,
+        LEASE_S,
+        lambda: False,
+        lambda token: None,
+        Metrics(),
+    )
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(session.run, task_group)
+        await anyio.sleep(0.05)
+        work = harness.submit("job", deadline_s=60)
+        session.start(harness.effects.started[0], work)
+        await anyio.sleep(0.05)
+        task_group.cancel_scope.cancel()
+    [order] = client.started
+    assert LEASE_S * 1000 <= order.lease_until_ms <= LEASE_S * 1000 + 500
