Remember the lifetime of a server that was dropped

Cause: a server that is not listed for 2.5 s is dropped with its token and its lifetime. When it is listed again with its next lifetime, that one counted as the first, so the restart went unnoticed, the token was not raised, and a start for the former lifetime that was presumed over was carried out there. A server that was dropped without a restart was called with the term again, also if its token had been raised.

Change: the scheduler remembers lifetime and token of the servers that it removes.

Evidence: without the change, the server of the new test accepted the late start. A second test, which passed before as well, covers a list of servers that names the next lifetime before its first report.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -93,6 +93,8 @@
         lease_limit_at: Callable[[str], float] | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
+        # Last known lifetime and raised token of the servers that were removed.
+        self._dropped_by_id: dict[str, tuple[int, int]] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
         self.run_by_task: dict[str, Run] = {}
         # Runs on other servers with the name of a run in `run_by_task`: of an earlier owner, or of
@@ -124,7 +126,11 @@
         server = self.server_by_id.get(listing.server_id)
         if server is None:
             candidate = Candidate(listing.server_id, listing.domain, local=True, slots=1)
-            server = ServerState(listing, candidate, born_ms=listing.born_ms)
+            # Orders to the lifetime that was dropped may still arrive at this one.
+            born_ms, token = self._dropped_by_id.pop(listing.server_id, (0, 0))
+            server = ServerState(
+                listing, candidate, born_ms=born_ms or listing.born_ms, token=token
+            )
             self.server_by_id[listing.server_id] = server
         server.listing = listing
         server.gone_at = 0.0
@@ -156,6 +162,7 @@
         if server.suspect:
             self._note_crash(server, "removed", now)
         del self.server_by_id[server_id]
+        self._dropped_by_id[server_id] = (server.born_ms, server.token)
         self.speeds.forget(server_id)
         self._request_dispatch(now)
 
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -481,6 +482,41 @@
         assert lease_ends_at >= accepted_at + LEASE_S / (1 - CLOCK_RATE_ERROR)
 
 
+# Guards against a task that runs twice: its server was dropped and is listed again with its next
+# lifetime, which carries out a start that was presumed over.
+async def test_late_start_is_fenced_by_a_server_that_was_dropped_and_is_listed_again() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    server.loses_starts = True
+    async with open_session(harness, server) as session:
+        work = harness.submit("job", deadline_s=60)
+        [run] = harness.effects.started
+        session.start(run, work)
+        await anyio.sleep(0.01)
+        harness.scheduler.handle_stopped(run, harness.now)
+        harness.advance(0.2)
+    harness.scheduler.cancel(work.key, harness.now)
+    for again in harness.effects.started[1:]:
+        harness.scheduler.handle_not_started(again, OrderFailure.NO_LEASE, harness.now)
+    listing = harness.scheduler.server_by_id["s0"].listing
+    harness.scheduler.remove_server("s0", harness.now)
+    server.restart()
+    harness.scheduler.set_server(replace(listing, born_ms=server.born_ms))
+    async with open_session(harness, server):
+        assert isinstance(server.carry_out(server.lost[0]), Err)
+
+
+# Guards against a restart that is missed as the list of servers has named the new lifetime first.
+async def test_restart_is_noticed_when_the_list_names_the_new_lifetime_first() -> None:
+    harness, server, notes = SchedulerHarness(servers=1), FakeServer(), list[int]()
+    async with open_session(harness, server, notes):
+        listing = harness.scheduler.server_by_id["s0"].listing
+        harness.scheduler.set_server(replace(listing, born_ms=server.born_ms + 1))
+        server.restart()
+        await anyio.sleep(0.05)
+    assert set(server.tokens) == {server.tokens[0], *notes}
+    assert len(notes) == 1
+
+
 # Guards against an owner that fails with an OverflowError: a server that has just started reports
 # zero as the time of its clock.
 async def test_task_is_started_on_a_server_whose_clock_reads_zero() -> None:
