--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -730,3 +730,21 @@
     [presumed] = harness.effects.fields_by_event["run-presumed-over"]
     lifetimes = ("ordered_born_ms", "listed_born_ms", "stopped_born_ms", "born_ms")
     assert [presumed[name] for name in lifetimes] == [1, 2, 2, 2]
+
+
+# Guards against a task that is blamed for a crash: its run has been accepted and has ended at the
+# next lifetime of its server before the first report of that lifetime.
+def test_run_that_has_ended_at_the_next_lifetime_is_not_taken_for_one_of_the_former() -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.submit("job", deadline_s=10)
+    harness.accept_all()
+    [run] = harness.effects.started
+    harness.now += 0.1
+    end = RunEnd(1, run.task_name, run.number, EndKind.DONE)
+    report = ServerReport(harness.clock_ms, born_ms=2, ends=(end,))
+    harness.scheduler.handle_restart("s0", harness.now, report, harness.now)
+    harness.scheduler.handle_report("s0", report, harness.now, [end], harness.now)
+    harness.advance(0.05)
+    assert harness.effects.done == [("job", 0)]
+    assert harness.effects.started == [run]
+    assert "server-crashed" not in harness.effects.events
