--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -93,6 +93,8 @@
         lease_limit_at: Callable[[str], float] | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
+        # Last known lifetime and raised token of the servers that were removed.
+        self._dropped_by_id: dict[str, tuple[int, int]] = {}
         self.work_by_key: dict[WorkKey, Work] = {}
         self.run_by_task: dict[str, Run] = {}
         # Runs on other servers with the name of a run in `run_by_task`: of an earlier owner, or of
@@ -124,7 +126,11 @@
         server = self.server_by_id.get(listing.server_id)
         if server is None:
             candidate = Candidate(listing.server_id, listing.domain, local=True, slots=1)
-            server = ServerState(listing, candidate, born_ms=listing.born_ms)
+            # Orders to the lifetime that was dropped may still arrive at this one.
+            born_ms, token = self._dropped_by_id.pop(listing.server_id, (0, 0))
+            server = ServerState(
+                listing, candidate, born_ms=born_ms or listing.born_ms, token=token
+            )
             self.server_by_id[listing.server_id] = server
         server.listing = listing
         server.gone_at = 0.0
@@ -156,6 +162,7 @@
         if server.suspect:
             self._note_crash(server, "removed", now)
         del self.server_by_id[server_id]
+        self._dropped_by_id[server_id] = (server.born_ms, server.token)
         self.speeds.forget(server_id)
         self._request_dispatch(now)
 
@@ -789,6 +796,7 @@
             expected_s=placement.expected_s,
             after=task.after,
             identity=work.identity,
+            ordered_born_ms=server.born_ms,
         )
         task.state = TaskState.ACTIVE
         task.last_run = (run.server_id, run.number)
@@ -861,6 +869,7 @@
         if self._is_known(run):
             run.stop_due_at = 0.0
             run.stop_effective_at = now + max_local_duration_s(self._bounds.stop_s)
+            run.stopped_born_ms = self.server_by_id[run.server_id].born_ms
 
     def handle_not_stopped(self, run: Run, failure: OrderFailure, now: float) -> None:
         """Handle a stop order that was rejected or not answered."""
@@ -969,22 +978,53 @@
         self._unblock_tasks(now)
         self._request_dispatch(now)
 
-    def handle_restart(self, server_id: str, now: float) -> None:
-        """Handle a restart of a server, which ended all accepted runs there.
+    def handle_restart(
+        self,
+        server_id: str,
+        now: float,
+        report: ServerReport | None = None,
+        sent_at: float = math.inf,
+    ) -> None:
+        """Handle a restart of a server, which ended the runs that its former lifetime accepted.
+
+        A start order that was not answered yet may reach the restarted server, so its run is kept,
+        and stopped again if it was being stopped.
+        So is one that was accepted after the report was asked for: either lifetime may have
+        accepted it, and the next report tells.
 
-        A start order that was not answered yet may reach the restarted server, so its run is kept.
+        :param server_id: id of the server.
+        :param now: monotonic time, in seconds.
+        :param report: first report of the new lifetime, not handled yet; None for one that names
+            no run.
+        :param sent_at: monotonic time at which that report was asked for, in seconds.
         """
         server = self.server_by_id.get(server_id)
         if server is None:
             return
-        accepted = [run for run in server.run_by_task.values() if run.accepted_at]
-        server.lost_run_by_task.update({run.task_name: run for run in accepted})
+        named: set[tuple[str, int]] = set()
+        if report is not None:
+            named.update((listed.task, listed.number) for listed in report.runs)
+            named.update((end.task, end.number) for end in report.ends)
+        ended = []
+        for run in server.run_by_task.values():
+            if (run.task_name, run.number) in named or run.accepted_at >= sent_at:
+                server.lost_run_by_task.pop(run.task_name, None)
+            elif run.accepted_at:
+                ended.append(run)
+        server.lost_run_by_task.update({run.task_name: run for run in ended})
         self._note_crash(server, "restarted", now)
         server.lost_run_by_task.clear()
         server.crashed_tasks.clear()
-        for run in accepted:
+        for run in ended:
+            self._log_presumed_over(run, RunOver.SERVER_RESTARTED)
             self._forget_run(run, RunOver.SERVER_RESTARTED)
             self._requeue(run, now)
+        for run in server.run_by_task.values():
+            if run.state in (RunState.LOST, RunState.STOPPING):
+                # A stop that the former lifetime has confirmed does not bind this one.
+                run.stop_effective_at = 0.0
+                run.stop_due_at = now + STOP_RETRY_S
+                self._effects.stop_run(run)
 
     def _note_crash(self, server: ServerState, evidence: str, now: float) -> None:
         """Record a crash of a server under the tasks that were there; nothing if it drained."""
@@ -1070,6 +1110,7 @@
             return
         if listed.number != run.number:
             return
+        run.listed_born_ms = self.server_by_id[run.server_id].born_ms
         if not run.accepted_at:
             run.accepted_at = now
             if run.state is RunState.STARTING:
@@ -1110,7 +1151,27 @@
         )
 
     def _log_run(self, event: str, run: Run) -> None:
-        self._effects.log_decision(event, task=run.task_name, run=run.number, server=run.server_id)
+        self._effects.log_decision(
+            event,
+            task=run.task_name,
+            run=run.number,
+            server=run.server_id,
+            born_ms=self.server_by_id[run.server_id].born_ms,
+        )
+
+    def _log_presumed_over(self, run: Run, over: RunOver) -> None:
+        self._effects.log_decision(
+            "run-presumed-over",
+            task=run.task_name,
+            run=run.number,
+            server=run.server_id,
+            after=over,
+            accepted=bool(run.accepted_at),
+            ordered_born_ms=run.ordered_born_ms,
+            listed_born_ms=run.listed_born_ms,
+            stopped_born_ms=run.stopped_born_ms,
+            born_ms=self.server_by_id[run.server_id].born_ms,
+        )
 
     def _relocate_run(self, run: Run, now: float) -> None:
         """Stop a run; its task is restarted as soon as the run has certainly ended."""
@@ -1137,6 +1198,7 @@
             ordered_at=now,
             accepted_at=now,
             orphan_until=now + ORPHAN_GRACE_S,
+            listed_born_ms=server.born_ms,
         )
         self._history.note_started(job_id_of(task_name), "", now)
         known = self.run_by_task.get(task_name)
@@ -1262,6 +1324,7 @@
             run=end.number,
             server=server.listing.server_id,
             how=end.kind.name,
+            born_ms=server.born_ms,
         )
 
     def _learn_speed(self, server: ServerState, run: Run, now: float) -> None:
@@ -1373,13 +1436,7 @@
         stopped = bool(run.stop_effective_at) and now >= run.stop_effective_at
         if stopped or now >= server.lease_ends_at:
             over = RunOver.STOP_CONFIRMED if stopped else RunOver.LEASE_ENDED
-            self._effects.log_decision(
-                "run-presumed-over",
-                task=run.task_name,
-                run=run.number,
-                server=run.server_id,
-                after=over,
-            )
+            self._log_presumed_over(run, over)
             self._forget_run(run, over)
             self._requeue(run, now)
         elif run.stop_due_at and now >= run.stop_due_at:
--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -12,7 +12,7 @@
 from redwingport_dispatch.interfaces import RunEnd, ServerClient, ServerReport, StartOrder
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.leases import MIN_START_LEASE_SHARE, Lease
-from redwingport_dispatch.ownership.terms import raise_token
+from redwingport_dispatch.ownership.terms import next_token, raise_token
 from redwingport_dispatch.scheduling.scheduler import Scheduler
 from redwingport_dispatch.scheduling.servers import ServerState
 from redwingport_dispatch.scheduling.work import Run, Work
@@ -50,7 +50,7 @@
     :param server: state of the server in the scheduler.
     :param client: client of the server.
     :param scheduler: scheduler that receives the reports of the server.
-    :param term: term of this owner, which is its first token.
+    :param term: term of this owner, which is its first token for a server.
     :param lease_s: maximum duration that the server allows for a lease, in seconds.
     :param may_contest: tells whether this owner may raise its token above that of another owner.
     :param note_token: called with each raised token.
@@ -72,8 +72,11 @@
         self._server_id = server.listing.server_id
         self._client = client
         self._scheduler = scheduler
-        self._token = term
+        # An earlier session may have raised the token.
+        self._token = max(term, server.token)
         self._raise_count = 0
+        # Whether no renewal with the token for the present lifetime has been answered yet.
+        self._token_is_new = False
         self._lease_s = lease_s
         self._lease = Lease(lease_s)
         self._may_contest = may_contest
@@ -168,9 +171,14 @@
                 runs=len(report.runs),
                 token=self._token,
             )
+        if self._token_is_new:
+            # Orders to the former lifetime may have arrived until now.
+            self._token_is_new = False
+            self._lease.count_from(now)
+            self._note_lease_end()
         if report.born_ms != self._born_ms and report.born_ms:
             if self._born_ms:
-                self._handle_restart(report, now)
+                self._handle_restart(report, sent_at, now)
             self._born_ms = report.born_ms
         self._lease.observe_clock(report.clock_ms, sent_at, now)
         new_ends: list[RunEnd] = []
@@ -181,7 +189,7 @@
             self._acknowledged = new_ends[-1].sequence
         self._scheduler.handle_report(self._server_id, report, sent_at, new_ends, now)
 
-    def _handle_restart(self, report: ServerReport, now: float) -> None:
+    def _handle_restart(self, report: ServerReport, sent_at: float, now: float) -> None:
         log_event(
             logger,
             logging.WARNING,
@@ -191,8 +199,16 @@
             was_born_ms=self._born_ms,
         )
         self._acknowledged = 0
+        # The new lifetime has seen no token. A higher one lets it refuse the orders that were sent
+        # to its predecessor and may still arrive.
+        self._use_token(next_token(self._token))
         self._lease.reset_clock()
-        self._scheduler.handle_restart(self._server_id, now)
+        self._token_is_new = True
+        # The next renewal returns at once. It tells which recently accepted runs have ended.
+        self._may_extend = False
+        self._scheduler.handle_restart(self._server_id, now, report, sent_at)
+        self._lease.count_from(now)
+        self._note_lease_end()
 
     async def _handle_renewal_error(self, error: OrderError) -> None:
         if error.failure is OrderFailure.FENCED:
@@ -228,13 +244,16 @@
             contests=contests,
         )
         if contests:
-            self._token = raise_token(self._token, self._raise_count)
+            self._use_token(raise_token(self._token, self._raise_count))
             self._raise_count += 1
-            self._note_token(self._token)
         else:
             self._scheduler.handle_yielded(self._server_id)
             await anyio.sleep(YIELD_RETRY_S)
 
+    def _use_token(self, token: int) -> None:
+        self._token = self._server.token = token
+        self._note_token(token)
+
     async def _start(self, run: Run, work: Work) -> None:
         now = current_time()
         # Looked at again, as the process may have been paused since the task was placed.
@@ -245,6 +264,7 @@
             self._log_start_failure(run, work, Err(error))
             self._scheduler.handle_not_started(run, error.failure, now)
             return
+        earliest_ms = self._lease.earliest_clock_ms(now)
         order = StartOrder(
             task=run.task_name,
             number=run.number,
@@ -258,19 +278,30 @@
         self._metrics.observe_order("start", result, answered_at - now)
         if isinstance(result, Err):
             self._log_start_failure(run, work, result)
-            self._scheduler.handle_not_started(run, result.err_value.failure, answered_at)
+            failure = result.err_value.failure
+            if failure is OrderFailure.FENCED and order.token < self._token:
+                failure = OrderFailure.OUTDATED
+            self._scheduler.handle_not_started(run, failure, answered_at)
         else:
-            self._lease.observe_clock(result.ok_value, now, answered_at)
+            if result.ok_value < earliest_ms:
+                self._lease.count_from(answered_at)
+                self._note_lease_end()
+            if result.ok_value:
+                self._lease.observe_clock(result.ok_value, now, answered_at)
             self._scheduler.handle_started(run, result.ok_value, answered_at)
 
     async def _stop(self, run: Run) -> None:
         now = current_time()
+        born_ms = self._born_ms
         result = await self._client.stop(
             run.task_name, run.number, self._token, now + ANSWER_TIMEOUT_S
         )
         self._metrics.observe_order("stop", result)
         if isinstance(result, Err):
             self._scheduler.handle_not_stopped(run, result.err_value.failure, current_time())
+        elif self._born_ms != born_ms:
+            # The former lifetime may have confirmed it.
+            self._scheduler.handle_not_stopped(run, OrderFailure.NO_ANSWER, current_time())
         else:
             self._scheduler.handle_stopped(run, current_time())
 
