Take no single server's list as evidence against an earlier run

Cause: a new owner started a resumed task when the server of the last run that its holder knew of did not list it. The previous owner may have started the task on another server since, with the notification of it lost, and a server that has restarted lists nothing whatever ran there. Now only the lists of all servers of the shard count, or the end of all leases of the previous owner. A run that is listed is adopted at once as before, so only tasks whose last known run is not found wait longer: for the remaining servers, and at most for 1.37 s after the last heartbeat of the previous owner, as tasks without a known run always have.

Three tests stated the old evidence. The one of the names in the log expects "all-servers-listed" for a task with a known run, too. The one of an end that belongs to an unknown run reports both servers now, and checks that the report of one starts nothing. The logs made up for the overlaps command no longer carry a value that no process writes; their verdicts are unchanged.

--- a/packages/cli/tests/test_overlapping.py
+++ b/packages/cli/tests/test_overlapping.py
@@ -178,7 +178,7 @@
     item = only_task(
         {
             "all.log": [
-                placed(0.0, 2, "s2", term=2, shard=0, resumed=True, after="server-listed"),
+                placed(0.0, 2, "s2", term=2, shard=0, resumed=True, after="all-servers-listed"),
                 line(0.2, "orphan-stopped", task=TASK, run=1, server="s1", term=3, shard=0),
             ]
         }
@@ -229,7 +229,7 @@
             "all.log": [
                 placed(0.0, 1, "s1", term=1, shard=0),
                 ended(0.5, 1, "s1", "DONE"),
-                placed(0.6, 2, "s1", term=1, shard=0, resumed=True, after="server-listed"),
+                placed(0.6, 2, "s1", term=1, shard=0, resumed=True, after="all-servers-listed"),
             ]
         }
     )
@@ -245,7 +245,7 @@
         {
             "all.log": [
                 ended(0.0, 1, "s1", "DONE"),
-                placed(0.0, 2, "s1", term=2, shard=0, resumed=True, after="server-listed"),
+                placed(0.0, 2, "s1", term=2, shard=0, resumed=True, after="all-servers-listed"),
                 ended(0.2, 2, "s1", "DONE"),
             ]
         }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1393,16 +1393,14 @@
             return known or waited_for
         if now < work.handover_until:
             return None
-        if task.blocked_on:
-            server = self.server_by_id.get(task.blocked_on)
-            listed = server is not None and server.acquired
-            over = RunOver.SERVER_LISTED
-        else:
-            listed = not work.other_servers and all(
-                server.acquired for server in self.server_by_id.values()
-            )
-            over = RunOver.ALL_SERVERS_LISTED
-        return (known or over) if listed else None
+        # The report of one server is no evidence, not even of that of the last known run: an
+        # earlier owner may have started the task elsewhere since, unnoticed by its holder.
+        all_listed = (
+            not work.other_servers
+            and (not task.blocked_on or task.blocked_on in self.server_by_id)
+            and all(server.acquired for server in self.server_by_id.values())
+        )
+        return (known or RunOver.ALL_SERVERS_LISTED) if all_listed else None
 
     def refuse(
         self, work: Work, reason: str, retry_after_s: int, inputs: Mapping[str, float]
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -63,8 +63,6 @@
     """Its server no longer lists it."""
     SERVER_RESTARTED = "server-restarted"
     """Its server has restarted."""
-    SERVER_LISTED = "server-listed"
-    """The server of the last known run has listed its runs, and the task was not among them."""
     ALL_SERVERS_LISTED = "all-servers-listed"
     """All servers of the shard have listed their runs, and the task was not among them."""
 
@@ -77,8 +75,7 @@
     :param next_run: number of its next run; run numbers fence earlier runs at the servers.
     :param state: its state.
     :param failures: number of runs that failed.
-    :param blocked_on: id of the server whose report decides whether an earlier run is still
-        running; empty when the reports of all servers are needed.
+    :param blocked_on: id of the server of the earlier run that it waits for; empty when unknown.
     :param earlier_run: run of an earlier submission, for which the task waits.
     :param last_run: server and number of its last known run; empty and 0 for none.
     :param after: evidence that its last run is over; for the log.
--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -280,3 +280,27 @@
         cluster.world.run(9.0)
     check(cluster)
     assert set(cluster.statuses()) == {200}
+
+
+# Guards against a next owner that starts a task because the server of the last run that the holder
+# knows of does not list it: the previous owner has started it elsewhere since, out of its reach.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_task_moved_unnoticed_by_its_holder_waits_for_leases_of_previous_owner(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=4, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner, holder, others = owner_and_holder(cluster)
+        for _ in range(2):
+            cluster.submit(LASTING, holder.node.domain, holder)
+        cluster.world.run(1.0)
+        first = next(name for name, server in cluster.server_by_id.items() if server.run_by_task)
+        # The others neither hear of the next run nor count the owner as lost yet.
+        names = [entry.node.name for entry in (holder, *others)]
+        cluster.cut_pairs([owner.node.name], names, 6.0, both=False)
+        cluster.crash_server(first, 0.05)
+        cluster.world.run(0.35)
+        for name, server in cluster.server_by_id.items():
+            if server.run_by_task and name != first:
+                cluster.cut_server(name, 6.0)
+        cluster.world.run(10.0)
+    assert cluster.monitor.starts > 2
+    check(cluster)
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -128,6 +128,34 @@
     assert len(harness.effects.started) == 1
 
 
+# Guards against a second run of a task that the previous owner has started elsewhere since: only
+# the server of the last run that the holder knows of was asked for it.
+def test_resumed_task_waits_for_reports_of_servers_other_than_that_of_its_last_known_run() -> None:
+    harness = SchedulerHarness(servers=2)
+    harness.scheduler.server_by_id["s1"].acquired = False
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.8, deadline_s=10)
+    harness.report("s0")
+    harness.advance(0.5)
+    assert not harness.effects.started
+    report = ServerReport(harness.clock_ms, runs=(RunListing("job.0.0.0", 2, 10),))
+    harness.scheduler.handle_report("s1", report, harness.now, [], harness.now)
+    harness.advance(0.1)
+    assert not harness.effects.started
+    harness.end(harness.scheduler.run_by_task["job.0.0.0"], EndKind.STOPPED)
+    assert [run.number for run in harness.effects.started] == [3]
+
+
+def test_resumed_task_starts_without_reports_when_leases_of_previous_owner_have_ended() -> None:
+    harness = SchedulerHarness(servers=2)
+    harness.scheduler.server_by_id["s1"].acquired = False
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.8, deadline_s=10)
+    harness.report("s0")
+    harness.advance(0.56)
+    assert not harness.effects.started
+    harness.advance(0.02)
+    assert [run.after for run in harness.effects.started] == [RunOver.EARLIER_LEASES_ENDED]
+
+
 # Guards against a second run of a task that another owner has started: the run was found on a
 # server while the task was still queued here, and the task was started all the same. Guards also
 # against a task that is completed by it: it may be a run of another job with the same id.
@@ -489,7 +517,7 @@
     harness.submit("waiting", resumed=True, deadline_s=60)
     harness.advance(1.4)
     assert [run.after for run in harness.effects.started] == [
-        RunOver.SERVER_LISTED,
+        RunOver.ALL_SERVERS_LISTED,
         RunOver.ALL_SERVERS_LISTED,
         RunOver.EARLIER_LEASES_ENDED,
     ]
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -141,7 +141,9 @@
     if not early:
         harness.report(server, [end])
     assert harness.effects.done == []
+    assert not harness.effects.started
     harness.report("s0")
+    harness.report("s1")
     [run] = harness.effects.started
     assert run.number > number
 
