Let simulated servers start again under their ids in silence

The simulated cluster could restart servers, but calls that were under way at that moment were always lost: a call belonged to one lifetime for good, and a client that had been opened before a crash never reached the next one.

A call that is held up by a cut, or is late, is now executed by whatever lifetime is there when it arrives. A call on a connection of a former lifetime is reset, and a new connection reaches the present lifetime. A renewal that waits at a server which crashes is no longer answered, in the name of the former lifetime, with the report of the next one.

Cluster.restart_in_silence closes and refuses nothing; FaultMix and FAULTS_OF_RESTARTED_SERVERS put it beside cuts and changes of owners. The delay of late calls, and the kinds of calls that are late, can be set.

--- a/packages/testbed/src/redwingport_testbed/simulation/cluster.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/cluster.py
@@ -727,11 +727,28 @@
         server = self.server_by_id[server_id]
         server.node.refuses = True
         server.crash(closes_connections=True)
+        self._start_again_later(server, duration_s)
+
+    def restart_in_silence(self, server_id: str, duration_s: float) -> None:
+        """Let the machine of a server lose power for some seconds; its row stays.
+
+        Unlike in :meth:`crash_server`, nothing is closed or refused in the meantime.
+        """
+        server = self.server_by_id[server_id]
+        if server.node.is_up:
+            server.node.refuses = False
+            server.crash()
+            self._start_again_later(server, duration_s)
+
+    def _start_again_later(self, server: ModelServer, duration_s: float) -> None:
+        lifetime = server.node.lifetime
 
         def start() -> None:
+            if server.node.lifetime != lifetime:
+                return
             server.node.is_up = True
             server.start_lifetime()
-            listing = self.store.listing_by_id.get(server_id)
+            listing = self.store.listing_by_id.get(server.node.name)
             if listing is not None:
                 self.store.put(replace(listing, born_ms=server.born_ms))
 
--- a/packages/testbed/src/redwingport_testbed/simulation/faults.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/faults.py
@@ -8,6 +8,7 @@
 
 KILL_DOWN_S = (0.3, 2.5)
 FAULT_S = (0.3, 3.0)
+SILENCE_S = (0.05, 1.0)
 RESTART_POLL_S = 0.5
 
 Fault = Callable[["FaultMix"], str]
@@ -161,6 +162,27 @@
         self._cluster.restart_server(server_id, self._random.uniform(*KILL_DOWN_S))
         return server_id
 
+    def restart_in_silence(self) -> str:
+        """Restart servers of a failure domain in silence, and cut them off soon after."""
+        cluster, domain = self._cluster, self._random.choice(self._cluster.domains)
+        names = [name for name, s in cluster.server_by_id.items() if s.node.domain == domain]
+        server_ids = self._some(names, self._random.uniform(0.3, 1.0))
+        down_s, duration_s = self._random.uniform(*SILENCE_S), self._duration_s()
+        for server_id in server_ids:
+            cluster.restart_in_silence(server_id, down_s)
+        cut_after_s = max(0.0, down_s + self._random.uniform(-0.6, 2.0))
+        mode = self._random.choice(["domain", "servers", "processes", "none"])
+        if mode == "domain":
+            cut = functools.partial(cluster.cut_domain, domain, duration_s)
+            cluster.world.call_later(cut_after_s, cut)
+        elif mode != "none":
+            entries = [entry.node.name for entry in cluster.entries]
+            share = self._random.uniform(0.1, 0.6) if mode == "processes" else 1.0
+            group, both = self._some(entries, share), self._random.random() < 0.8
+            cut = functools.partial(cluster.cut_pairs, group, server_ids, duration_s, both)
+            cluster.world.call_later(cut_after_s, cut)
+        return f"{server_ids} down_s={down_s:.3f} cut={mode} cut_after_s={cut_after_s:.3f}"
+
     def disturb_orders(self) -> str:
         """Lose orders or answers, or execute orders late."""
         server_ids = self._some(sorted(self._cluster.server_by_id), 0.4)
@@ -281,3 +303,23 @@
     FaultMix.freeze_behind_cut,
     FaultMix.freeze_behind_cut,
 )
+
+# Servers that forget everything, beside changes of owners.
+FAULTS_OF_RESTARTED_SERVERS: tuple[Fault, ...] = (
+    FaultMix.restart_in_silence,
+    FaultMix.restart_in_silence,
+    FaultMix.restart_in_silence,
+    FaultMix.restart_in_silence,
+    FaultMix.cut_domain,
+    FaultMix.cut_processes,
+    FaultMix.cut_owner_from_process,
+    FaultMix.cut_servers_from_processes,
+    FaultMix.cut_server,
+    FaultMix.kill,
+    FaultMix.drain,
+    FaultMix.freeze,
+    FaultMix.disturb_orders,
+    FaultMix.slow_servers,
+    FaultMix.slow_loop,
+    FaultMix.lose_clients,
+)
--- a/packages/testbed/src/redwingport_testbed/simulation/world.py
+++ b/packages/testbed/src/redwingport_testbed/simulation/world.py
@@ -13,7 +13,7 @@
 import random
 import selectors
 from collections import deque
-from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Collection, Coroutine, Iterator
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -36,6 +36,7 @@
 JITTER_S = 0.0003
 # Order that a faulty path delays is executed up to this much later.
 MAX_LATE_S = 3.0
+STEPS = frozenset({"renew", "start", "stop"})
 MAX_CONNECTIONS = 5
 # Time after the acknowledgement of a cancel from which no task of the job may start.
 CANCEL_S = 3.0
@@ -528,6 +529,10 @@
     :param monitor: notified of starts and ends.
     :param duration_of: returns the time that a run takes from the text of its job, in seconds.
     :param cpu_of: returns the demand of a task from the text of its job, in thousandths.
+    :ivar loss_share: share of the calls, and of the answers, that are lost.
+    :ivar late_share: share of the calls that are executed late, if need be by a later lifetime.
+    :ivar late_steps: kinds of calls to which this applies.
+    :ivar late_s: bounds of the delay, in seconds.
     """
 
     def __init__(
@@ -542,6 +547,8 @@
         self.node = node
         self.loss_share = 0.0
         self.late_share = 0.0
+        self.late_steps: Collection[str] = STEPS
+        self.late_s = (0.0, MAX_LATE_S)
         self.cpu_millis = cpu_millis
         self.closes_connections = False
         # Closers of the exchanges that are open, as keys in order of opening.
@@ -571,8 +578,8 @@
     def crash(self, closes_connections: bool = False) -> None:
         """End this lifetime; everything that runs there ends with it.
 
-        :param closes_connections: whether the machine closes the connections; otherwise they time
-            out, also those to later lifetimes from clients that were opened before.
+        :param closes_connections: whether the machine closes the connections; otherwise calls
+            time out until the next lifetime, which resets these connections.
         """
         for run in list(self.run_by_task.values()):
             self._monitor.note_end(self.node.name, run)
@@ -612,10 +619,11 @@
         if until_ms is not None:
             self._extend(until_ms)
         answered = False
+        lifetime = self.node.lifetime
 
         def answer() -> None:
             nonlocal answered
-            if not answered:
+            if not answered and self.node.lifetime == lifetime:
                 answered = True
                 reply(Ok(self._report()))
 
@@ -778,6 +786,7 @@
         if self._server.closes_connections and self._lifetime != target.lifetime:
             self._lifetime = target.lifetime
             self._idle_connections = 0
+        lifetime = self._lifetime
         if self._idle_connections:
             self._idle_connections -= 1
         else:
@@ -789,6 +798,10 @@
                 await anyio.sleep_until(deadline)
                 return _failed(step, OrderFailure.NOT_SENT)
             await anyio.sleep(world.delay_s(source, target) * 2)
+            lifetime = target.lifetime
+            if self._lifetime != lifetime:
+                self._lifetime = lifetime
+                self._idle_connections = 0
         loop = asyncio.get_running_loop()
         answered: asyncio.Future[Result[Any, OrderError]] = loop.create_future()
 
@@ -802,7 +815,14 @@
                 world.call_later(world.delay_s(target, source), lambda: deliver(result))
 
         def arrive() -> None:
-            if target.is_up and target.lifetime == self._lifetime:
+            if target.lifetime == lifetime:
+                arrive_late()
+            elif target.is_up:
+                # The next lifetime does not know the connection.
+                close()
+
+        def arrive_late() -> None:
+            if target.is_up:
                 execute(reply)
 
         def close() -> None:
@@ -812,26 +832,33 @@
 
         self._server.open_exchanges[close] = None
         try:
-            self._transmit(arrive)
+            self._transmit(step, arrive, arrive_late)
             with anyio.CancelScope(deadline=deadline):
                 result = await answered
-                if self._lifetime == target.lifetime:
+                if lifetime == self._lifetime == target.lifetime:
                     self._idle_connections = min(self._idle_connections + 1, MAX_CONNECTIONS)
                 return result
             return _failed(step, OrderFailure.NO_ANSWER)
         finally:
             self._server.open_exchanges.pop(close, None)
 
-    def _transmit(self, arrive: Callback) -> None:
+    def _transmit(self, step: str, arrive: Callback, arrive_late: Callback) -> None:
+        """Send a call.
+
+        :param step: kind of the call.
+        :param arrive: called when it arrives in time.
+        :param arrive_late: called when it arrives after it was held up.
+        """
         world, source, target = self._world, self._process, self._server.node
+        server = self._server
         if world.is_over:
             return
         if world.is_cut(source, target):
             if world.random.random() < 0.5:
-                world.hold(source, target, arrive)
-        elif world.random.random() < self._server.late_share:
-            world.call_later(world.random.uniform(0, MAX_LATE_S), arrive)
-        elif world.random.random() >= self._server.loss_share:
+                world.hold(source, target, arrive_late)
+        elif step in server.late_steps and world.random.random() < server.late_share:
+            world.call_later(world.random.uniform(*server.late_s), arrive_late)
+        elif world.random.random() >= server.loss_share:
             world.call_later(world.delay_s(source, target), arrive)
 
 
