Add a failing test of a job sent again into a cut-off domain

Cause, as the test shows it: a client loses its connection unnoticed, so that its first holder goes on. The domain with the server of run 1 is cut off. The run ends there, and the owner elected there hears of that end, but may not claim it, as nothing tells it from a run of another job with the same id. The client sends the job again into that domain, and the owner starts run 2 at once (after=none-known). The owner outside, which still serves the first holder, presumes run 1 over when its lease has ended and orders its own run 2.

No fix is tried here.

--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -7,7 +7,7 @@
 
 from redwingport_dispatch.ownership.election import LIVENESS_TIMEOUT_S
 from redwingport_messages.dispatch import PresenceUnchanged
-from redwingport_testbed.simulation.cluster import LASTING, LONG, Cluster, Entry
+from redwingport_testbed.simulation.cluster import LASTING, LONG, MEDIUM, Cluster, Entry
 
 TINY = (3, 3)
 # Longest time since the heartbeats of a process to owners, or of an owner, after one of them: they
@@ -304,3 +304,23 @@
         cluster.world.run(10.0)
     assert cluster.monitor.starts > 2
     check(cluster)
+
+
+# Guards against two owners that have a job each from its own holder: its client has lost its
+# connection unnoticed, and sends the job again into a domain that has been cut off since.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_job_sent_again_into_a_domain_cut_off_from_its_first_holder_runs_once(seed: int) -> None:
+    cluster = Cluster(seed, (4, 4, 4, 4), servers=24, shards=1, servers_per_shard=24)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        cut, held, _ = (domain for domain in cluster.domains if domain != owner.node.domain)
+        holder = next(entry for entry in cluster.entries if entry.node.domain == held)
+        for _ in range(4):
+            cluster.submit(MEDIUM, cut, holder)
+        cluster.world.run(0.05)
+        assert cluster.lose_clients()
+        cluster.world.run(0.03)
+        cluster.cut_domain(cut, 3.0)
+        cluster.world.run(8.0)
+    assert any(attempt.number == 2 for attempt in cluster.attempts)
+    check(cluster)
