Do not start a job whose runs beyond a cut are served for another holder

What callers saw: in the users' record, two owners ordered run 2 of one task on the two sides of a cut; run 1 had ended normally on the side that was cut off.

Cause: the new owner in a domain that is cut off sees the end of run 1, or the run, and can't tell whose it is. When the client sends the job again into that domain, it started the task at once with the next number. The owner outside still served the first holder, which had not noticed that its client was gone, and started the task as well when the lease of run 1 was over.

An owner in the majority takes the first holder for ended, as before: after a killed process the job has to run again.

What stays open: a first holder in the minority, and a second submission without any trace of the first one.

--- a/packages/dispatch/src/redwingport_dispatch/events.py
+++ b/packages/dispatch/src/redwingport_dispatch/events.py
@@ -247,6 +247,13 @@
             *OWNER_FIELDS,
         ),
     ),
+    LogEvent(
+        "work-runs-elsewhere",
+        _O,
+        "a new work item is abandoned, as an earlier submission of its job may be served beyond a "
+        "cut; this owner reaches no majority of the processes",
+        ("job", "holder", *OWNER_FIELDS),
+    ),
     LogEvent(
         "work-abandoned",
         _O,
--- a/packages/dispatch/src/redwingport_dispatch/owner.py
+++ b/packages/dispatch/src/redwingport_dispatch/owner.py
@@ -55,7 +55,8 @@
     :param term: term of the owner.
     :param settled_at: monotonic time until which holders may still submit the work items of an
         earlier owner, in seconds.
-    :param may_contest: tells whether this owner may raise its token above that of another owner.
+    :param may_contest: tells whether this process reaches a majority of the known ones, so that it
+        may raise its token above that of another owner.
     :param note_token: called with each raised token.
     :param send_notification: sends a notification to a holder, which handles it later.
     :param deliver_local: delivers the messages between this process's holder and its owners that
@@ -93,6 +94,7 @@
             self._request_dispatch,
             crash_log,
             lease_limit_at,
+            may_contest,
         )
         for listing in listing_by_id.values():
             self.scheduler.set_server(listing)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -81,6 +81,8 @@
     :param crash_log: crashes of servers that the process knows of; None for an empty log.
     :param lease_limit_at: returns the monotonic time beyond which no lease for the tasks of a
         holder may extend, in seconds; None for no limit.
+    :param reaches_majority: tells whether this process reaches a majority of the known ones; None
+        if it always does.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         on_dispatch_due: Callable[[], None] | None = None,
         crash_log: CrashLog | None = None,
         lease_limit_at: Callable[[str], float] | None = None,
+        reaches_majority: Callable[[], bool] | None = None,
     ) -> None:
         self.server_by_id: dict[str, ServerState] = {}
         # Last known lifetime and raised token of the servers that were removed.
@@ -117,6 +120,7 @@
         self._reserved_by_work: dict[WorkKey, ServerState] = {}
         self._placement_paused_until = 0.0
         self._lease_limit_at = lease_limit_at
+        self._reaches_majority = reaches_majority
         self._unconfirmed_holders: set[str] = set()
 
     # Servers
@@ -239,6 +243,11 @@
         if passed_on is not None:
             self.refuse(work, passed_on.reason, passed_on.retry_after_s, {})
             return
+        if not resumed and self._may_run_beyond_a_cut(work):
+            self._effects.log_decision("work-runs-elsewhere", job=work.job_id, holder=work.holder)
+            self._effects.abandon(work)
+            self._history.note_given_up(work, now)
+            return
         work.late = now + work.shape.estimate_s > work.target_at
         work.resumed = resumed
         settled_at = max(self._settled_at, now)
@@ -287,6 +296,24 @@
         self._unblock_tasks(now)
         self._request_dispatch(now)
 
+    def _may_run_beyond_a_cut(self, work: Work) -> bool:
+        """Return whether another holder of a new work item's job may be served beyond a cut.
+
+        A run that neither this owner nor the holder of the work item has ordered belongs to an
+        earlier submission, whose holder is not heard here. An owner that reaches a majority takes
+        it for ended.
+        """
+        if self._reaches_majority is None or self._reaches_majority():
+            return False
+        for task in work.tasks():
+            name = work.task_name(task.index)
+            unclaimed = self._history.find_unclaimed_end(name)
+            if unclaimed is not None and not unclaimed.identity:
+                return True
+            if any(run.work is None and not run.identity for run in self._runs_of(name)):
+                return True
+        return False
+
     def cancel(self, key: WorkKey, now: float, may_be_running: bool = True) -> None:
         """Cancel a work item: stop its runs and drop its queued tasks.
 
--- a/packages/dispatch/tests/scheduling_fakes.py
+++ b/packages/dispatch/tests/scheduling_fakes.py
@@ -78,11 +78,13 @@
         self.now = 100.0
         # Limits of the leases by holder; other holders have none.
         self.lease_limit_at_by_holder: dict[str, float] = {}
+        self.reaches_majority = True
         self.scheduler = Scheduler(
             self.effects,
             BOUNDS,
             self.now + settled_s,
             lease_limit_at=lambda holder: self.lease_limit_at_by_holder.get(holder, math.inf),
+            reaches_majority=lambda: self.reaches_majority,
         )
         self._next_work = 0
         self._ends_by_server: dict[str, int] = {}
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -414,3 +414,30 @@
     harness.advance(1.0)
     assert harness.effects.refused == []
     assert harness.effects.abandoned == ["job"]
+
+
+# Guards against a second run of a job that an owner beyond a cut still runs for its first holder:
+# here, no more is known of it than a run that neither this owner nor the holder has ordered.
+@pytest.mark.parametrize("has_ended", [True, False])
+@pytest.mark.parametrize("reaches_majority", [True, False])
+def test_job_that_may_run_beyond_a_cut_is_started_by_the_majority_only(
+    has_ended: bool, reaches_majority: bool
+) -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.reaches_majority = reaches_majority
+    ends = (RunEnd(1, "job.0.0.0", 1, EndKind.DONE),)
+    runs = (RunListing("job.0.0.0", 1, 10),)
+    report = (
+        ServerReport(harness.clock_ms, ends=ends)
+        if has_ended
+        else ServerReport(harness.clock_ms, runs=runs)
+    )
+    harness.scheduler.handle_report("s0", report, harness.now, list(report.ends), harness.now)
+    harness.submit("job", deadline_s=5.0)
+    harness.advance(0.3)
+    if not has_ended:
+        harness.report("s0", [RunEnd(1, "job.0.0.0", 1, EndKind.STOPPED)])
+    harness.advance(0.3)
+    assert [run.number for run in harness.effects.started] == ([2] if reaches_majority else [])
+    assert harness.effects.abandoned == ([] if reaches_majority else ["job"])
+    assert harness.effects.refused == []
