Order crashes and their retractions by stamps of their origin

Cause: a crash and its retraction were ordered by their expiry times, which are sent as remaining times and so move later by the time in transit with each hop. A crash that arrived later than its retraction, such as at a process that had been frozen, seemed newer: it was taken again, passed on and retracted again, without end. Full logs had the same fault for another reason: each dropped its oldest entries by order of arrival, and took from the others what it had dropped. Once two full logs with different contents met, that went on, too.

Change: the process that observes a crash, or retracts crashes, sets a stamp once. It is sent along unchanged and alone decides what is newer. Expiry times only tell when to forget, and a known item's can only become earlier. Stamps are Unix milliseconds, but at least one more than those that they have to supersede, so convergence does not depend on the clocks, and a later crash counts though the clock was set back. A full log drops what has the lowest stamps, and does not take it again.

Why it works: of each subject the highest retraction stays, and of each crash the reports that no other covers; both are least upper bounds, so the order and number of deliveries do not matter. While no log is full and nothing expires, each item is new to a log at most once, and only what is new is passed on. A log that is full drops items for good until they expire.

The entries of ServerCrashes have a new field; entries without it are read, with stamp 0: older than all others, so a retraction without a stamp ends crashes without a stamp only.

--- a/packages/dispatch/src/redwingport_dispatch/process.py
+++ b/packages/dispatch/src/redwingport_dispatch/process.py
@@ -45,8 +45,10 @@
 from redwingport_entry.supervisor import Supervisor
 from redwingport_messages.dispatch import (
     CancelWork,
+    ClearedEntry,
     ConfigurationAnswer,
     ConfigurationQuery,
+    CrashEntry,
     LayoutAnswer,
     LayoutQuery,
     OpenWorks,
@@ -55,6 +57,7 @@
     ReleaseWork,
     ServerCrashes,
     SubmitWork,
+    SurvivorEntry,
     TaskNews,
     WorkAbandoned,
     WorkRefused,
@@ -145,7 +148,7 @@
         self._timeout_changed = anyio.Event()
         self._awake_at = current_time()
         self._owner_by_shard: dict[int, Owner] = {}
-        self._crash_log = CrashLog(self._announce_crashes, self._announce_retraction)
+        self._crash_log = CrashLog(self._announce_crashes, self._announce_retraction, _unix_ms)
         self._drain_started = anyio.Event()
         self._loopback = Loopback[Frame](
             lambda message: self._handle_message(self.incarnation, message)
@@ -367,7 +370,7 @@
         elif others is not None and now - self._isolated_since > ISOLATION_TIMEOUT_S:
             for record in others:
                 self._mesh.add_address(record.address)
-        shard_owners = self._election.decide(now, time.time_ns() // 1_000_000)
+        shard_owners = self._election.decide(now, _unix_ms())
         if shard_owners == self._shard_owners:
             return
         before = self._shard_owners or [NO_OWNER] * len(shard_owners)
@@ -635,16 +638,18 @@
         now = current_time()
         retractions = [
             *(
-                Retraction(Lifetime(server_id, born_ms), now + left_ms / 1000)
-                for server_id, born_ms, left_ms in message.survivors
+                Retraction(Lifetime(e.server_id, e.born_ms), now + e.left_ms / 1000, e.stamp)
+                for e in message.survivors
             ),
-            *(Retraction(task, now + left_ms / 1000) for task, left_ms in message.cleared),
+            *(Retraction(e.task, now + e.left_ms / 1000, e.stamp) for e in message.cleared),
         ]
-        # First, as a peer also sends crashes that were observed after them.
+        # First, so that crashes which they end are not passed on.
         new_retractions = [r for r in retractions if self._crash_log.retract(r)]
         new = self._crash_log.merge(
-            Crash(task, Lifetime(server_id, born_ms), alone, now + left_ms / 1000)
-            for task, server_id, born_ms, alone, left_ms in message.crashes
+            Crash(
+                e.task, Lifetime(e.server_id, e.born_ms), e.alone, now + e.left_ms / 1000, e.stamp
+            )
+            for e in message.crashes
         )
         if new or new_retractions:
             self._send_to_peers(_encode_crashes(new, new_retractions), except_for=sender)
@@ -669,6 +674,11 @@
     return int(boot_time() * 1000)
 
 
+def _unix_ms() -> int:
+    """Return the Unix time, in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
 def _encode_crashes(crashes: Sequence[Crash], retractions: Sequence[Retraction]) -> ServerCrashes:
     now = current_time()
 
@@ -677,22 +687,23 @@
 
     return ServerCrashes(
         [
-            (
+            CrashEntry(
                 crash.task_name,
                 crash.lifetime.server_id,
                 crash.lifetime.born_ms,
                 crash.alone,
                 left_ms(crash.expires_at),
+                crash.stamp,
             )
             for crash in crashes
         ],
         [
-            (r.subject.server_id, r.subject.born_ms, left_ms(r.expires_at))
+            SurvivorEntry(r.subject.server_id, r.subject.born_ms, left_ms(r.expires_at), r.stamp)
             for r in retractions
             if isinstance(r.subject, Lifetime)
         ],
         [
-            (r.subject, left_ms(r.expires_at))
+            ClearedEntry(r.subject, left_ms(r.expires_at), r.stamp)
             for r in retractions
             if not isinstance(r.subject, Lifetime)
         ],
--- a/packages/dispatch/tests/test_cluster_crashes.py
+++ b/packages/dispatch/tests/test_cluster_crashes.py
@@ -5,9 +5,13 @@
 
 import os
 import random
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from unittest import mock
 
 import pytest
 
+from redwingport_dispatch.process import DispatchProcess
 from redwingport_testbed.simulation.cluster import CRASHING, MEDIUM, TIMEOUT_S, Cluster
 from redwingport_testbed.simulation.faults import FaultMix
 
@@ -26,6 +30,57 @@
         pytest.fail(failure, pytrace=False)
 
 
+class Exchange:
+    """Count the messages with crashes, and what the processes have announced in them.
+
+    Once far more were handled than announced, the others are dropped, so that the cluster goes on.
+    """
+
+    MAX_HANDLED = 20_000
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self.announced = 0
+        self.opened = 0
+        self.handled_at: list[float] = []
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        with ExitStack() as stack:
+            for name, count in (
+                ("_announce_crashes", self._count_announced),
+                ("_announce_retraction", self._count_announced),
+                ("_handle_link", self._count_opened),
+                ("_handle_crashes", self._count_handled),
+            ):
+                method = getattr(DispatchProcess, name)
+                stack.enter_context(mock.patch.object(DispatchProcess, name, count(method)))
+            yield
+
+    def _count_announced(self, method: Callable[..., None]) -> Callable[..., None]:
+        def announce(process: DispatchProcess, items: object) -> None:
+            # Crashes of one server are announced together, but may be passed on one by one.
+            self.announced += len(items) if isinstance(items, list) else 1
+            method(process, items)
+
+        return announce
+
+    def _count_opened(self, method: Callable[..., None]) -> Callable[..., None]:
+        def handle(process: DispatchProcess, incarnation: str) -> None:
+            self.opened += 1
+            method(process, incarnation)
+
+        return handle
+
+    def _count_handled(self, method: Callable[..., None]) -> Callable[..., None]:
+        def handle(process: DispatchProcess, sender: str, message: object) -> None:
+            self.handled_at.append(self._cluster.world.now)
+            if len(self.handled_at) < self.MAX_HANDLED:
+                method(process, sender, message)
+
+        return handle
+
+
 def count_given_up(cluster: Cluster) -> int:
     return sum(event == "task-given-up" for _, _, event, _ in cluster.events)
 
@@ -73,6 +128,30 @@
     check(cluster)
 
 
+# Guards against processes that exchange crashes and retractions without end: one that was frozen
+# took a crash that was retracted meanwhile for a later one, and so did the others in turn.
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("frozen_s", [0.0, 0.35])
+def test_crashes_of_many_servers_are_exchanged_once(seed: int, frozen_s: float) -> None:
+    cluster = Cluster(seed, (2, 2), servers=16, shards=1, timeout_s=10.0)
+    exchange = Exchange(cluster)
+    with exchange.counted(), cluster.running():
+        cluster.load(40, 4.0, kinds=(MEDIUM,))
+        cluster.world.run(1.0)
+        if frozen_s:
+            cluster.freeze(next(e for e in cluster.entries if not cluster.is_owner(e)), frozen_s)
+        for server_id in list(cluster.server_by_id):
+            cluster.crash_server(server_id, 0.05)
+        cluster.world.run(6.0)
+    assert exchange.announced
+    others = len(cluster.entries) - 1
+    # Each process sends an item to all others at most once, and all that it knows on a new link.
+    most = exchange.announced * len(cluster.entries) * others + exchange.opened
+    assert len(exchange.handled_at) <= most
+    assert exchange.handled_at[-1] < cluster.world.now - 1.0
+    check(cluster)
+
+
 # Guards against harm to the other jobs while some crash their servers.
 @pytest.mark.parametrize("seed", range(1, 4))
 def test_other_jobs_are_done_while_some_crash_servers(seed: int) -> None:
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -441,7 +441,7 @@
 
 
 def crash(task: str, server_id: str, alone: bool = False, expires_at: float = 1000.0) -> Crash:
-    return Crash(task, Lifetime(server_id, 1), alone, expires_at)
+    return Crash(task, Lifetime(server_id, 1), alone, expires_at, round(expires_at * 1000))
 
 
 def test_crash_that_is_reported_twice_counts_once() -> None:
@@ -482,7 +482,7 @@
 
 # Guards against crashes that come back: a peer without a link reported them again.
 def test_crash_of_a_server_that_answers_is_not_taken_from_a_peer_again() -> None:
-    here, peer = CrashLog(), CrashLog()
+    here, peer = (CrashLog(clock_ms=lambda: 0) for _ in range(2))
     for log in (here, peer):
         log.merge([crash("a.0.0.0", "s0", expires_at=160.0)])
     here.note_survived(Lifetime("s0", 1), 100.1)
@@ -495,7 +495,7 @@
 
 # Guards against giving up a task for crashes of which a normal end has cleared it.
 def test_cleared_crashes_do_not_count_with_a_later_one() -> None:
-    here, peer = CrashLog(), CrashLog()
+    here, peer = (CrashLog(clock_ms=lambda: 0) for _ in range(2))
     for log in (here, peer):
         log.merge([crash("a.0.0.0", server, expires_at=160.0) for server in ("s0", "s1")])
     here.clear("a.0.0.0", 101.0)
@@ -520,3 +520,52 @@
     assert not log.retract(announced[0]), "known, so it is not passed on again"
     log.prune(161.0)
     assert not log.all_retractions()
+
+
+# Guards against mistaking reports of processes that set no stamps: an older message is as old as
+# can be.
+def test_reports_without_stamps_are_older_than_all_others() -> None:
+    log = CrashLog()
+    unstamped = replace(crash("a.0.0.0", "s0"), stamp=0)
+    stamped = crash("a.0.0.0", "s1")
+    assert log.merge([unstamped, stamped]) == [unstamped, stamped]
+    assert log.retract(Retraction("a.0.0.0", 1000.0))
+    assert log.all_crashes() == [stamped]
+    assert not log.merge([unstamped])
+
+
+# Guards against losing the evidence that a task was alone to a later report of the same crash.
+def test_crash_while_alone_is_kept_when_it_is_reported_again() -> None:
+    log = CrashLog()
+    alone = crash("a.0.0.0", "s0", alone=True, expires_at=160.0)
+    later = crash("a.0.0.0", "s0", expires_at=161.0)
+    assert log.merge([alone]) == [alone]
+    assert log.merge([later]) == [later]
+    assert log.crashes_under("a.0.0.0") == (alone,)
+    assert not log.merge([alone, later])
+    log.retract(Retraction("a.0.0.0", 1000.0, alone.stamp))
+    assert log.crashes_under("a.0.0.0") == (later,)
+
+
+def test_crash_that_another_owner_of_the_process_observes_is_not_new() -> None:
+    announced: list[object] = []
+    log = CrashLog(on_crashes=announced.extend)
+    assert log.observe([crash("a.0.0.0", "s0", alone=True)])
+    assert not log.observe([crash("a.0.0.0", "s0")])
+    assert len(announced) == 1
+
+
+# Guards against ignoring what is observed while the log is full and the clock is behind.
+def test_full_log_records_crashes_and_retractions_of_this_process() -> None:
+    clock_ms = 2_000_000
+    log = CrashLog(clock_ms=lambda: clock_ms)
+    for number in range(MAX_TASKS + 1):
+        log.retract(Retraction(f"ended{number}.0.0.0", 1000.0, 4_000_000 + number))
+    log.merge(
+        [replace(crash(f"job{n}.0.0.0", "s0"), stamp=3_000_000) for n in range(MAX_TASKS + 1)]
+    )
+    assert log.observe([crash("later.0.0.0", "s1")])
+    assert log.is_suspect("later.0.0.0")
+    log.clear("later.0.0.0", 100.0)
+    assert not log.is_suspect("later.0.0.0")
+    assert len(log.all_retractions()) == MAX_TASKS
--- a/packages/messages/src/redwingport_messages/dispatch.py
+++ b/packages/messages/src/redwingport_messages/dispatch.py
@@ -5,7 +5,7 @@
 clocks of two VMs are unrelated. The receiver converts them to times of its own clock on receipt.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, NamedTuple
 
 from pydantic import ConfigDict, Field
 from pydantic.dataclasses import dataclass as checked_dataclass
@@ -17,6 +17,8 @@
 MAX_TERM = 2**53 - 1
 _STRICT = ConfigDict(strict=True, allow_inf_nan=False)
 Count = Annotated[int, Field(ge=0)]
+# Unix milliseconds, or more where a clock has stepped back.
+Stamp = Annotated[int, Field(ge=0, le=MAX_TERM)]
 Term = Annotated[int, Field(ge=0, le=MAX_TERM)]
 TaskEvent = Literal["placed", "done", "failed"]
 
@@ -265,20 +267,64 @@
     document: bytes
 
 
+class CrashEntry(NamedTuple):
+    """Describe a crash of a server while a run of a task was there.
+
+    :param task: name of the task.
+    :param server_id: id of the server.
+    :param born_ms: Unix time of the start of the server, in milliseconds.
+    :param alone: whether nothing else ran on the server.
+    :param left_ms: time for which the crash still counts, in milliseconds.
+    :param stamp: orders the crash among retractions; set by the process that observed it and
+        passed on unchanged. Processes of earlier revisions send none; it is lower than all others
+        then.
+    """
+
+    task: str
+    server_id: str
+    born_ms: Count
+    alone: bool
+    left_ms: Count
+    stamp: Stamp = 0
+
+
+class SurvivorEntry(NamedTuple):
+    """Describe a lifetime of a server that was reported as crashed by mistake.
+
+    :param server_id: id of the server.
+    :param born_ms: Unix time of the start of the server, in milliseconds.
+    :param left_ms: time for which earlier crashes are to be ignored, in milliseconds.
+    :param stamp: highest stamp of the crashes to be ignored, as in :class:`CrashEntry`.
+    """
+
+    server_id: str
+    born_ms: Count
+    left_ms: Count
+    stamp: Stamp = 0
+
+
+class ClearedEntry(NamedTuple):
+    """Describe a task of which a run has ended normally after crashes.
+
+    :param task: name of the task.
+    :param left_ms: time for which earlier crashes are to be ignored, in milliseconds.
+    :param stamp: highest stamp of the crashes to be ignored, as in :class:`CrashEntry`.
+    """
+
+    task: str
+    left_ms: Count
+    stamp: Stamp = 0
+
+
 @checked_dataclass(frozen=True, slots=True, config=_STRICT)
 class ServerCrashes:
     """Report servers that have crashed while tasks ran there, and crashes that no longer count.
 
-    :param crashes: task, id of the server, Unix time of its start in milliseconds, whether the
-        task was alone there, and the time for which the crash still counts in milliseconds, of
-        each crash under a task.
-    :param survivors: id of the server, Unix time of its start in milliseconds, and the time for
-        which earlier crashes are to be ignored in milliseconds, of each lifetime that was reported
-        as crashed by mistake.
-    :param cleared: task, and the time for which earlier crashes are to be ignored in milliseconds,
-        of each task of which a run has ended normally after crashes.
+    :param crashes: the crashes, one entry for each task.
+    :param survivors: lifetimes that have survived.
+    :param cleared: tasks whose crashes no longer count.
     """
 
-    crashes: list[tuple[str, str, Count, bool, Count]]
-    survivors: list[tuple[str, Count, Count]]
-    cleared: list[tuple[str, Count]]
+    crashes: list[CrashEntry]
+    survivors: list[SurvivorEntry]
+    cleared: list[ClearedEntry]
--- a/packages/messages/tests/test_frames.py
+++ b/packages/messages/tests/test_frames.py
@@ -11,9 +11,12 @@
     MAX_SHARDS,
     MAX_TERM,
     CancelWork,
+    ClearedEntry,
+    CrashEntry,
     LayoutAnswer,
     Presence,
     ServerCrashes,
+    SurvivorEntry,
     TaskNews,
 )
 from redwingport_messages.exceptions import MessageError
@@ -41,6 +44,11 @@
             [("s1", 0, 60_000)],
             [("job.0.0.1", 60_000)],
         ),
+        ServerCrashes(
+            [CrashEntry("job.0.0.0", "s0", 1_700_000_000_000, True, 60_000, 1_700_000_060_000)],
+            [SurvivorEntry("s1", 0, 60_000, 1_700_000_060_001)],
+            [ClearedEntry("job.0.0.1", 60_000, 1_700_000_060_002)],
+        ),
     ],
 )
 def test_encoded_message_is_decoded_unchanged(message: Frame) -> None:
@@ -48,6 +56,18 @@
     assert decode_frame(encode_frame(message)[LENGTH_BYTES:], "peer") == message
 
 
+# Guards against ending the link to a process of an earlier revision.
+def test_crashes_without_stamps_are_read() -> None:
+    body = msgpack.packb(
+        [26, [["job.0.0.0", "s0", 5, True, 60_000]], [["s1", 0, 60_000]], [["job.0.0.1", 60_000]]]
+    )
+    assert decode_frame(body, "peer") == ServerCrashes(
+        [CrashEntry("job.0.0.0", "s0", 5, True, 60_000, 0)],
+        [SurvivorEntry("s1", 0, 60_000, 0)],
+        [ClearedEntry("job.0.0.1", 60_000, 0)],
+    )
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_raise_only_message_errors(body: bytes) -> None:
     """Guard against invalid frames that crash the receiver."""
