Do not refuse a resubmitted job that an earlier owner may have started

Cause: the new owner of a shard got a work item from the holder of its predecessor, which may have started it. When the client sent the job again through another process, the second submission took the place of the first, and nothing recorded that the job may have started. Without a usable server the owner refused it ("no server"), and the holder offered it to another shard, which started it while the former owner, cut off, still ran it.

Change: a work item that may have started is recorded as started when it is dropped, as the runs of this owner always were. A later submission is then neither refused nor passed on, and ends as "too late" at its deadline.

Evidence: both cases of the new test failed before, with a refusal "no server".

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -539,6 +539,9 @@
 
     def _drop_work(self, work: Work, now: float, logs_ends: bool = False) -> None:
         self._forget_work(work)
+        if work.ever_started:
+            # An earlier owner may have started it, of which nothing else is recorded here.
+            self._history.note_started(work.job_id, work.identity, now)
         for task in work.task_by_index.values():
             run = self.run_by_task.get(work.task_name(task.index))
             if run is not None and run.work is work:
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -414,3 +414,16 @@
     harness.advance(1.0)
     assert harness.effects.refused == []
     assert harness.effects.abandoned == ["job"]
+
+
+# Guards against a refusal, and an offer to another shard, of a job of which an earlier owner may
+# have started tasks, because it was submitted again.
+@pytest.mark.parametrize("settled_s", [0.0, 1.0])
+def test_job_sent_again_after_a_change_of_owner_is_not_refused(settled_s: float) -> None:
+    harness = SchedulerHarness(servers=0, settled_s=settled_s)
+    harness.submit("job", holder="one", resumed=True, placed={0: "s0"}, deadline_s=9)
+    second = harness.submit("job", holder="two", more_offers=True, deadline_s=9)
+    harness.advance(2.0)
+    assert harness.effects.abandoned == ["job"]
+    assert harness.effects.refused == []
+    assert list(harness.scheduler.work_by_key) == [second.key]
