Take an empty list of servers for no evidence about earlier runs

Cause: a resumed task may start when all servers of the shard have listed their runs. Of a process that has not read the list of servers yet, as the store is out of reach, that holds without any report. The task was queued, and started on the first server that answered, while another one still ran it for the former owner.

Change: without any server there is no such evidence, so that the task waits for all servers once they are known, or for the end of the leases of the former owner.

Evidence: the new test failed before, as the task started on the first of two servers.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1478,8 +1478,10 @@
             return None
         # The report of one server is no evidence, not even of that of the last known run: an
         # earlier owner may have started the task elsewhere since, unnoticed by its holder.
+        # Without any server, the list of servers may not have arrived yet.
         all_listed = (
-            not work.other_servers
+            bool(self.server_by_id)
+            and not work.other_servers
             and (not task.blocked_on or task.blocked_on in self.server_by_id)
             and all(server.acquired for server in self.server_by_id.values())
         )
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -776,3 +776,17 @@
     assert harness.effects.done == [("job", 0)]
     assert harness.effects.started == [run]
     assert "server-crashed" not in harness.effects.events
+
+
+# Guards against a resumed task that is started before all servers have listed their runs, because
+# the list of servers arrives after it.
+def test_resumed_task_that_arrives_before_the_list_of_servers_waits_for_all_of_them() -> None:
+    harness = SchedulerHarness(servers=0)
+    harness.submit("job", resumed=True, unheard_s=0.5, deadline_s=9)
+    harness.advance(0.05)
+    harness.add_server("s0", acquired=False)
+    harness.add_server("s1", acquired=False)
+    harness.report("s0")
+    assert harness.effects.started == []
+    harness.report("s1")
+    assert len(harness.effects.started) == 1
