Acknowledge no ends after an unanswered renewal

Cause: a renewal acknowledges the ends up to a number, and the numbers start anew with each lifetime of a server. A lifetime that has accepted a start before its first report, and whose run has ended by then, was sent the number of its predecessor, so it forgot that end. The report that shows the restart does not name the run, which was taken for one that the restart has ended, and its task was started again.

Change: the first renewal after one without an answer acknowledges nothing. A report repeats the ends in that case, which are told by their numbers as before. Nothing changes while renewals are answered.

Evidence: without the change, the new test fails: the end of the third task is never reported, and done is [] instead of [("three", 0)].

What remains: a renewal for the former lifetime that arrives late, before the next one has seen the raised token, still acknowledges by the numbers of the former.

--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -124,13 +124,15 @@
         if extends and limit_at > sent_at:
             until_ms = self._lease.extend(sent_at, limit_at)
         self._note_lease_end()
+        # After an unanswered renewal, the next lifetime may be there, which counts its ends anew.
+        acknowledged = self._acknowledged if self._may_extend else 0
         # An unanswered renewal may have been executed. The lease is not extended again until the
         # server has answered, so that behind a one-way network partition the runs are stopped by
         # the end of their lease.
         self._may_extend = False
         result = await self._client.renew(
             self._token,
-            self._acknowledged,
+            acknowledged,
             until_ms,
             int(wait_s * 1000),
             sent_at + wait_s + ANSWER_TIMEOUT_S,
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -10,7 +10,13 @@
 from scheduling_fakes import SchedulerHarness
 
 from redwingport_dispatch.exceptions import OrderError, OrderFailure
-from redwingport_dispatch.interfaces import RunListing, ServerReport, StartOrder
+from redwingport_dispatch.interfaces import (
+    EndKind,
+    RunEnd,
+    RunListing,
+    ServerReport,
+    StartOrder,
+)
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.ownership.leases import CLOCK_RATE_ERROR
 from redwingport_dispatch.ownership.terms import TAG_BITS, new_term
@@ -206,6 +212,7 @@
         self.accepts: list[StartOrder] = []
         self.tokens: list[int] = []
         self.loses_starts = False
+        self.loses_renewals = False
         self.lost: list[StartOrder] = []
         self.renewal_gate: anyio.Event | None = None
         self.start_gate: anyio.Event | None = None
@@ -220,6 +227,14 @@
         self._token = 0
         self._run_by_task: dict[str, int] = {}
         self._rejected_by_task: dict[str, int] = {}
+        self._ends: list[RunEnd] = []
+        self._end_count = 0
+
+    def end(self, task: str) -> None:
+        """End a run normally."""
+        self._end_count += 1
+        number = self._run_by_task.pop(task)
+        self._ends.append(RunEnd(self._end_count, task, number, EndKind.DONE))
 
     def carry_out(self, order: StartOrder) -> Result[int, OrderError]:
         """Carry out a start order, however late."""
@@ -242,7 +257,7 @@
 
     def _report(self) -> ServerReport:
         runs = tuple(RunListing(task, number, 10) for task, number in self._run_by_task.items())
-        return ServerReport(self._clock_ms, self.born_ms, runs)
+        return ServerReport(self._clock_ms, self.born_ms, runs, tuple(self._ends))
 
     async def renew(
         self,
@@ -253,9 +268,12 @@
         deadline: float,
     ) -> Result[ServerReport, OrderError]:
         await anyio.sleep(0.01)
+        self._ends = [end for end in self._ends if end.sequence > acknowledged]
         report = self._report()
         if self.renewal_gate is not None:
             await self.renewal_gate.wait()
+        if self.loses_renewals:
+            return self._fail(OrderFailure.NO_ANSWER)
         if not self.reports_before_gate:
             report = self._report()
         if token < self._token:
@@ -541,3 +559,31 @@
         task_group.cancel_scope.cancel()
     [order] = client.started
     assert LEASE_S * 1000 <= order.lease_until_ms <= LEASE_S * 1000 + 500
+
+
+# Guards against a task that is started again after its end: the acknowledgement of ends of the
+# former lifetime let the next one, which counts its ends anew, forget that end.
+async def test_end_at_the_next_lifetime_is_not_acknowledged_with_those_of_the_former() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    async with open_session(harness, server) as session:
+        for job in ("one", "two"):
+            work = harness.submit(job, deadline_s=60)
+            session.start(harness.effects.started[-1], work)
+            await anyio.sleep(0.01)
+            server.end(f"{job}.0.0.0")
+            await anyio.sleep(0.05)
+        assert harness.effects.done == [("one", 0), ("two", 0)]
+        gate = server.renewal_gate = anyio.Event()
+        await anyio.sleep(0.03)
+        server.restart()
+        work = harness.submit("three", deadline_s=60)
+        session.start(harness.effects.started[-1], work)
+        await anyio.sleep(0.01)
+        server.end("three.0.0.0")
+        server.loses_renewals = True
+        gate.set()
+        await anyio.sleep(0.005)
+        server.loses_renewals = False
+        await anyio.sleep(0.3)
+    assert harness.effects.done[2:] == [("three", 0)]
+    assert len(harness.effects.started) == 3
