Let a job wait while its first holder is heard again and still has it

Callers would see a task run twice at a time around the end of a cut (rule TWICE).

Cause: an owner remembers the jobs of a holder that is out of reach, and forgot them when the holder was heard again. That the holder is heard is no evidence that its runs elsewhere are over: until it submits the job here, the owner on the other side goes on with it. A second submission of the job, which had waited, was started in between.

Change: the record is kept by work item. A list of the open work items of a holder ends the wait for those that it does not name. The others wait until the holder submits or cancels them here, or, as before, until their deadlines and one more lease.

Evidence: without the change, the new test fails: the second submission has started within 0.1 s (two starts). It is a test of the scheduler; no run of a cluster has shown the fault.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -87,8 +87,8 @@
         self._unclaimed_by_task: dict[str, UnclaimedEnd] = {}
         self._started_until_by_job: dict[JobKey, float] = {}
         self._blocked_by_job_id: dict[str, Work] = {}
-        # Times until which holders out of reach may have a job run by another owner, by holder.
-        self._out_of_reach_by_job_id: dict[str, dict[str, float]] = {}
+        # Times until which another owner may run work items of holders that were out of reach.
+        self._out_of_reach_by_job_id: dict[str, dict[WorkKey, float]] = {}
 
     def note_ended(self, work: Work, now: float) -> None:
         """Record a work item whose tasks are all done."""
@@ -199,23 +199,34 @@
         :param work: the work item.
         :param until: monotonic time by which every run of that owner has ended, in seconds.
         """
-        until_by_holder = self._out_of_reach_by_job_id.setdefault(work.job_id, {})
-        until_by_holder[work.holder] = max(until, until_by_holder.get(work.holder, 0.0))
+        until_by_key = self._out_of_reach_by_job_id.setdefault(work.job_id, {})
+        until_by_key[work.key] = max(until, until_by_key.get(work.key, 0.0))
 
     def is_out_of_reach(self, work: Work, now: float) -> bool:
-        """Return whether a holder out of reach may have a job of the same id run elsewhere."""
-        until_by_holder = self._out_of_reach_by_job_id.get(work.job_id, {})
+        """Return whether another holder may have a job of the same id run elsewhere."""
+        until_by_key = self._out_of_reach_by_job_id.get(work.job_id, {})
         return any(
-            now < until for holder, until in until_by_holder.items() if holder != work.holder
+            now < until for (holder, _), until in until_by_key.items() if holder != work.holder
         )
 
-    def forget_out_of_reach(self, holder: str) -> None:
-        """Forget the jobs of a holder that has ended, or that is heard again."""
-        for job_id, until_by_holder in list(self._out_of_reach_by_job_id.items()):
-            until_by_holder.pop(holder, None)
-            if not until_by_holder:
+    def forget_out_of_reach(self, key: WorkKey) -> None:
+        """Forget a work item that its holder has cancelled, or submitted to this owner."""
+        for job_id, until_by_key in list(self._out_of_reach_by_job_id.items()):
+            until_by_key.pop(key, None)
+            if not until_by_key:
                 del self._out_of_reach_by_job_id[job_id]
 
+    def forget_out_of_reach_of(self, holder: str, open_keys: Set[WorkKey]) -> None:
+        """Forget the work items of a holder, but for the open ones."""
+        ended = [
+            key
+            for until_by_key in self._out_of_reach_by_job_id.values()
+            for key in until_by_key
+            if key[0] == holder and key not in open_keys
+        ]
+        for key in ended:
+            self.forget_out_of_reach(key)
+
     def note_unclaimed_end(self, end: RunEnd, server_id: str, identity: str, now: float) -> None:
         """Record the end of a run that belongs to no known work item.
 
@@ -270,7 +281,7 @@
             job: until for job, until in self._started_until_by_job.items() if now < until
         }
         self._out_of_reach_by_job_id = {
-            job_id: until_by_holder
-            for job_id, until_by_holder in self._out_of_reach_by_job_id.items()
-            if now < max(until_by_holder.values())
+            job_id: until_by_key
+            for job_id, until_by_key in self._out_of_reach_by_job_id.items()
+            if now < max(until_by_key.values())
         }
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -253,6 +253,7 @@
         if not self._displace_older(work, now):
             return
         self.work_by_key[work.key] = work
+        self._history.forget_out_of_reach(work.key)
         blocked = self._history.find_blocked(work.job_id, now)
         if blocked is not None:
             work.safe_at = max(work.safe_at, blocked.safe_at)
@@ -298,6 +299,7 @@
         if may_be_running:
             self._history.limit_passed_on(key, now)
         else:
+            self._history.forget_out_of_reach(key)
             self._history.forget_passed_on(key)
         work = self.work_by_key.get(key)
         if work is not None:
@@ -333,7 +335,7 @@
         """
         self._unconfirmed_holders.discard(holder)
         if has_ended:
-            self._history.forget_out_of_reach(holder)
+            self._history.forget_out_of_reach_of(holder, set())
         else:
             for work in self.work_by_key.values():
                 if work.holder == holder:
@@ -350,7 +352,8 @@
         :returns: the number of cancelled work items.
         """
         self._history.limit_passed_on_of(holder, open_keys, now)
-        self._history.forget_out_of_reach(holder)
+        # Another owner may go on with an open one until it is submitted to this owner.
+        self._history.forget_out_of_reach_of(holder, open_keys)
         return self._drop_works_of(holder, open_keys, now)
 
     def _drop_works_of(self, holder: str, kept_keys: Set[WorkKey], now: float) -> int:
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -414,3 +414,17 @@
     harness.advance(1.0)
     assert harness.effects.refused == []
     assert harness.effects.abandoned == ["job"]
+
+
+# Guards against a second run of a job whose first holder is heard again and has not ended it:
+# until the holder submits it here, another owner may go on with it.
+def test_job_that_a_holder_heard_again_still_has_is_not_started() -> None:
+    harness = SchedulerHarness()
+    first = harness.submit("job", holder="one", deadline_s=3.0)
+    harness.accept_all()
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.end(harness.effects.started[0], EndKind.STOPPED)
+    harness.submit("job", holder="two", deadline_s=10.0)
+    harness.scheduler.cancel_others("one", {first.key}, harness.now)
+    harness.advance(0.1)
+    assert len(harness.effects.started) == 1
