Take no list from before a loss of contact as evidence against a run

Cause: a new owner starts a resumed task when it has acquired all servers of the shard and none lists the task. A server stays acquired when contact with it is lost. Its next lifetime has not seen the token of this owner, so an earlier owner that still reaches it may have started the task there since. The same holds after an answer to an order, which ends the suspicion and names no runs.

Change: only a server that has listed its runs since contact was lost last counts. A resumed task waits for that list, or for the end of the leases of the earlier owner, as it does for a server that was never acquired.

Evidence: without the change, both new tests fail: the task was started at once, with s1 out of reach, and after the answer of s0. They are tests of the scheduler; no run of a cluster has shown the fault.

What remains: a server that restarts between two renewals, which is not noticed yet.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -975,7 +975,7 @@
                 self._add_reported_run(server, listed.task, listed.number, now)
         server.observe_progress(now)
         self._relocate_late_runs(server, now)
-        server.acquired = True
+        server.acquired = server.runs_listed = True
         server.yielded = False
         server.full = False
         self._unblock_tasks(now)
@@ -1481,7 +1481,11 @@
         all_listed = (
             not work.other_servers
             and (not task.blocked_on or task.blocked_on in self.server_by_id)
-            and all(server.acquired for server in self.server_by_id.values())
+            # The next lifetime of a server has not seen the token of this owner: an earlier owner
+            # may have started the task there.
+            and all(
+                server.acquired and server.runs_listed for server in self.server_by_id.values()
+            )
         )
         return (known or RunOver.ALL_SERVERS_LISTED) if all_listed else None
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -37,6 +37,8 @@
         ended, in seconds.
     :param born_ms: Unix time of the start of the lifetime that was last in contact, in
         milliseconds; 0 when unknown.
+    :param runs_listed: whether it has listed its runs since this owner took over and since contact
+        was lost.
     :param token: highest fencing token that this owner has raised for the server; 0 if it uses its
         term.
     :param lost_run_by_task: runs that were on the server when contact was lost, by task name,
@@ -62,6 +64,7 @@
     gone_at: float = 0.0
     lease_ends_at: float = 0.0
     born_ms: int = 0
+    runs_listed: bool = False
     token: int = 0
     lost_run_by_task: dict[str, Run] = field(default_factory=dict)
     crashed_tasks: set[str] = field(default_factory=set)
@@ -129,6 +132,7 @@
     def note_contact_lost(self) -> None:
         """Give the server no task until it answers, and keep what runs there."""
         self.suspect = True
+        self.runs_listed = False
         self.lost_run_by_task.update(self.run_by_task)
 
     def note_contact(self, born_ms: int) -> None:
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -428,3 +428,29 @@
     harness.scheduler.cancel_others("one", {first.key}, harness.now)
     harness.advance(0.1)
     assert len(harness.effects.started) == 1
+
+
+# Guards against a second run of a task that an earlier owner has started at the next lifetime of a
+# server: what that server listed before contact was lost is no evidence.
+def test_resumed_task_waits_for_a_server_that_is_out_of_reach_since_its_report() -> None:
+    harness = SchedulerHarness()
+    harness.scheduler.handle_unreachable("s1", OrderFailure.NO_ANSWER, harness.now)
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.3, deadline_s=10.0)
+    harness.advance(0.1)
+    assert harness.effects.started == []
+    harness.report("s1")
+    assert len(harness.effects.started) == 1
+
+
+# Guards against the same when an answer that names no runs has ended the suspicion.
+def test_resumed_task_waits_for_the_list_of_a_server_that_answers_again() -> None:
+    harness = SchedulerHarness()
+    harness.submit("other", deadline_s=10.0)
+    run = harness.effects.started[0]
+    harness.scheduler.handle_unreachable(run.server_id, OrderFailure.NO_ANSWER, harness.now)
+    harness.scheduler.handle_started(run, harness.clock_ms, harness.now)
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.3, deadline_s=10.0)
+    harness.advance(0.1)
+    assert harness.effects.started == [run]
+    harness.report(run.server_id)
+    assert len(harness.effects.started) == 2
