Add a failing test of a job sent again before its holder is missed

Cause, as the log of the test shows it: a client loses its connection unnoticed, its holder is cut off, and the client sends the job again before the owner misses that holder. The owner lets the second submission displace the first, and the message about it is lost in the cut. The holder submits the job to the owner on its side, which adopts the run and goes on with it. The first owner presumes it over when its own lease has ended and starts the task again. Nothing is recorded when the holder is dropped, as it has no work item there any more.

No fix is tried here: a displaced work item has to count as open elsewhere until its holder has confirmed that it was given up.

--- a/packages/dispatch/tests/test_cluster_holders.py
+++ b/packages/dispatch/tests/test_cluster_holders.py
@@ -34,3 +34,26 @@
             cluster._send(attempt.job_id, attempt.kind, owner.node.domain, 2)
         cluster.world.run(CUT_S + 10.0)
     check(cluster)
+
+
+# Guards against a second run of a job that is sent again before its owner misses the first holder:
+# the message that gives the first submission up is lost in the cut, and another owner goes on.
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("after_s", [0.1, 0.3])
+def test_job_sent_again_before_its_holder_is_missed_runs_once(seed: int, after_s: float) -> None:
+    cluster = Cluster(seed, DOMAINS, servers=12, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        holder = next(e for e in cluster.entries if e.node.domain != owner.node.domain)
+        for _ in range(4):
+            cluster.submit(LASTING, holder.node.domain, holder)
+        cluster.world.run(0.1)
+        attempts = [attempt for attempt in cluster.attempts if attempt.entry is holder]
+        # The clients lose their connections, and the holder does not notice it.
+        holder.attempts.clear()
+        cluster.cut_domain(holder.node.domain, CUT_S)
+        cluster.world.run(after_s)
+        for attempt in attempts:
+            cluster._send(attempt.job_id, attempt.kind, owner.node.domain, 2)
+        cluster.world.run(CUT_S + 10.0)
+    check(cluster)
