Add a failing test of jobs whose holder was killed

Callers see 504 for jobs that they send again after a process was killed.

Cause: an owner that loses a holder cannot tell one that was killed from one that is cut off, and since lets the job wait until a process answers at the address of the holder, or until the deadline of the first submission and one more lease. With the deadlines of the test, the second submission is given up by then.

No fix is tried here: without the wait, test_job_of_a_holder_out_of_reach_is_not_started_again fails.

--- a/packages/dispatch/tests/test_cluster_holders.py
+++ b/packages/dispatch/tests/test_cluster_holders.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from redwingport_testbed.simulation.cluster import LASTING, RESUBMIT_S, Cluster
+from redwingport_testbed.simulation.cluster import LASTING, LONG, RESUBMIT_S, Cluster
 
 DOMAINS = (3, 3, 3)
 CUT_S = 6.0
@@ -57,3 +57,21 @@
             cluster._send(attempt.job_id, attempt.kind, owner.node.domain, 2)
         cluster.world.run(CUT_S + 10.0)
     check(cluster)
+
+
+# Guards against jobs that fail because they wait for a holder that was killed, which is taken for
+# one out of reach.
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("refuses", [True, False])
+def test_job_of_a_killed_holder_is_served_when_it_is_sent_again(seed: int, refuses: bool) -> None:
+    cluster = Cluster(seed, DOMAINS, servers=12, shards=1)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        holder = next(entry for entry in cluster.entries if entry is not owner)
+        for _ in range(6):
+            cluster.submit(LONG, holder.node.domain, holder)
+        cluster.world.run(0.2)
+        cluster.kill(holder, refuses)
+        cluster.world.run(6.0)
+    check(cluster)
+    assert 504 not in cluster.statuses()
