--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -262,6 +262,7 @@
         if not self._displace_older(work, now):
             return
         self.work_by_key[work.key] = work
+        self._history.forget_out_of_reach(work.key)
         blocked = self._history.find_blocked(work.job_id, now)
         if blocked is not None:
             work.safe_at = max(work.safe_at, blocked.safe_at)
@@ -325,6 +326,7 @@
         if may_be_running:
             self._history.limit_passed_on(key, now)
         else:
+            self._history.forget_out_of_reach(key)
             self._history.forget_passed_on(key)
         work = self.work_by_key.get(key)
         if work is not None:
@@ -360,7 +362,7 @@
         """
         self._unconfirmed_holders.discard(holder)
         if has_ended:
-            self._history.forget_out_of_reach(holder)
+            self._history.forget_out_of_reach_of(holder, set())
         else:
             for work in self.work_by_key.values():
                 if work.holder == holder:
@@ -377,7 +379,8 @@
         :returns: the number of cancelled work items.
         """
         self._history.limit_passed_on_of(holder, open_keys, now)
-        self._history.forget_out_of_reach(holder)
+        # Another owner may go on with an open one until it is submitted to this owner.
+        self._history.forget_out_of_reach_of(holder, open_keys)
         return self._drop_works_of(holder, open_keys, now)
 
     def _drop_works_of(self, holder: str, kept_keys: Set[WorkKey], now: float) -> int:
@@ -1002,7 +1005,7 @@
                 self._add_reported_run(server, listed.task, listed.number, now)
         server.observe_progress(now)
         self._relocate_late_runs(server, now)
-        server.acquired = True
+        server.acquired = server.runs_listed = True
         server.yielded = False
         server.full = False
         self._unblock_tasks(now)
@@ -1516,7 +1519,11 @@
             bool(self.server_by_id)
             and not work.other_servers
             and (not task.blocked_on or task.blocked_on in self.server_by_id)
-            and all(server.acquired for server in self.server_by_id.values())
+            # The next lifetime of a server has not seen the token of this owner: an earlier owner
+            # may have started the task there.
+            and all(
+                server.acquired and server.runs_listed for server in self.server_by_id.values()
+            )
         )
         return (known or RunOver.ALL_SERVERS_LISTED) if all_listed else None
 
