Blame no task for a crash before its run, when its owner has changed

Cause: a new owner that learns of a restart blames the tasks whose last known run was on that server, as it knows nothing else of them. It did so too when the first report of the next lifetime named that very run, which had been ordered after the crash.

Change: a task whose last known run is among the runs or the ends in the report is not blamed.

Evidence: both cases of the new test failed before, with a "server-crashed" that named the task.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1015,7 +1015,7 @@
             elif run.accepted_at:
                 ended.append(run)
         server.lost_run_by_task.update({run.task_name: run for run in ended})
-        self._note_crash(server, "restarted", now)
+        self._note_crash(server, "restarted", now, named)
         server.lost_run_by_task.clear()
         server.crashed_tasks.clear()
         for run in ended:
@@ -1029,8 +1029,17 @@
                 run.stop_due_at = now + STOP_RETRY_S
                 self._effects.stop_run(run)
 
-    def _note_crash(self, server: ServerState, evidence: str, now: float) -> None:
-        """Record a crash of a server under the tasks that were there; nothing if it drained."""
+    def _note_crash(
+        self,
+        server: ServerState,
+        evidence: str,
+        now: float,
+        later_runs: Set[tuple[str, int]] = frozenset(),
+    ) -> None:
+        """Record a crash of a server under the tasks that were there; nothing if it drained.
+
+        :param later_runs: tasks and numbers of the runs that the next lifetime has accepted.
+        """
         if server.listing.draining:
             return
         server_id = server.listing.server_id
@@ -1045,6 +1054,8 @@
             for task in work.tasks():
                 if task.state is TaskState.BLOCKED and task.blocked_on == server_id:
                     name = work.task_name(task.index)
+                    if (name, task.next_run - 1) in later_runs:
+                        continue
                     is_alone = is_alone and name in lost
                     lost.add(name)
         lifetime = Lifetime(server_id, server.born_ms)
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -10,7 +10,7 @@
 from scheduling_fakes import SchedulerHarness
 
 from redwingport_dispatch.exceptions import OrderFailure
-from redwingport_dispatch.interfaces import EndKind, ServerReport
+from redwingport_dispatch.interfaces import EndKind, RunEnd, RunListing, ServerReport
 from redwingport_dispatch.scheduling.crashes import (
     MAX_TASKS,
     Crash,
@@ -520,3 +520,19 @@
     assert not log.retract(announced[0]), "known, so it is not passed on again"
     log.prune(161.0)
     assert not log.all_retractions()
+
+
+# Guards against a job that fails although its task runs: a new owner learns of a restart by the
+# report that lists the run, or its end, at the next lifetime.
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_resumed_task_is_not_blamed_for_the_crash_before_its_run(has_ended: bool) -> None:
+    harness = SchedulerHarness(servers=0)
+    harness.add_server("s0", acquired=False)
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.5, deadline_s=6)
+    runs = () if has_ended else (RunListing("job.0.0.0", 1, 10),)
+    ends = (RunEnd(1, "job.0.0.0", 1, EndKind.DONE),) if has_ended else ()
+    report = ServerReport(harness.clock_ms, born_ms=2, runs=runs, ends=ends)
+    harness.scheduler.handle_restart("s0", harness.now, report, harness.now)
+    assert "server-crashed" not in harness.effects.events
+    harness.scheduler.handle_report("s0", report, harness.now, list(ends), harness.now)
+    assert harness.effects.started == []
