Take no server that does not answer for evidence about earlier runs

Cause: a resumed task may start when all servers of the shard have listed their runs. A server that had done so counted as long as it had not refused the token of this owner.

Change: a server that does not answer is no evidence. The task waits until it reports again, or until the leases of the earlier owner have ended.

What remains: the time until a missing answer is noticed, at most the wait of a renewal and its timeout (0.65 s), within which an old list still counts.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1494,7 +1494,7 @@
             bool(self.server_by_id)
             and not work.other_servers
             and (not task.blocked_on or task.blocked_on in self.server_by_id)
-            and all(server.acquired for server in self.server_by_id.values())
+            and all(s.acquired and not s.suspect for s in self.server_by_id.values())
         )
         return (known or RunOver.ALL_SERVERS_LISTED) if all_listed else None
 
--- a/packages/dispatch/tests/test_scheduler_runs.py
+++ b/packages/dispatch/tests/test_scheduler_runs.py
@@ -790,3 +790,15 @@
     assert harness.effects.started == []
     harness.report("s1")
     assert len(harness.effects.started) == 1
+
+
+# Guards against a second run of a task that another owner has started on a server after that one
+# was last in contact here.
+def test_resumed_task_waits_for_a_server_that_has_stopped_answering() -> None:
+    harness = SchedulerHarness(servers=2)
+    harness.scheduler.handle_unreachable("s1", OrderFailure.NO_ANSWER, harness.now)
+    harness.submit("job", resumed=True, unheard_s=0.5, deadline_s=9)
+    harness.advance(0.05)
+    assert harness.effects.started == []
+    harness.report("s1")
+    assert len(harness.effects.started) == 1
