Let the tests of server sessions run in virtual time

Cause: they waited for 0.01 to 0.05 s of real time for what a session does. test_late_start_is_fenced_by_a_server_that_was_dropped_and_is_listed_again failed once, in a whole run beside two others (Ok(77) for a late start), and passed 10 of 10 alone. The verdict of a test must not rest on such times.

Change: the tests run on the loop of the simulated shards, whose clock jumps to the next timer. No assertion is changed.

That the real time was the cause of the one failure is suspected, not shown: its log says only that the renewal with the raised token came after the check.

--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -21,15 +21,24 @@
 from redwingport_dispatch.ownership.leases import CLOCK_RATE_ERROR
 from redwingport_dispatch.ownership.terms import TAG_BITS, new_term
 from redwingport_dispatch.sessions import ServerSession
+from redwingport_testbed.shards.virtual_time import VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
 
 LEASE_S = 1.0
 
 
+def build_loop() -> VirtualTimeLoop:
+    """Return a loop whose clock is ahead of that of a new :class:`SchedulerHarness`."""
+    loop = VirtualTimeLoop()
+    loop.advance(1000.0)
+    return loop
+
+
+# The load of the machine must not decide what happens first, so time is virtual.
 @pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+def anyio_backend() -> tuple[str, dict[str, object]]:
+    return "asyncio", {"loop_factory": build_loop}
 
 
 class ScriptedClient:
