Try a server with an old load report again while tasks run there

What callers saw: tasks waited although a slot of their worker was free, until a task there ended.

Cause: load reports can't tell a process's own starts under way from the tasks of other processes. An answer that overtakes another one raised the mean load of others above zero, here to 0.002 tasks. With 15 of 16 slots in use, less than one free slot was expected from then on. A report that corrects this comes with the next start or end only; the retry after an old report was limited to servers on which this process runs nothing.

Change: the retry applies unless a start of this process is still unanswered, so at most one task at a time goes to a server that appears full. The count of confirmed tasks moves from Server to Candidate for that.

--- a/packages/entry/src/redwingport_entry/gateways/servers.py
+++ b/packages/entry/src/redwingport_entry/gateways/servers.py
@@ -18,7 +18,6 @@
     :param info: the VM as listed.
     :param view: the policy's view of the server.
     :param connections: the connections to the server.
-    :param confirmed: number of this process's tasks that the server confirmed and that still run.
     :param lease: id of the lease held, or an empty string.
     :param lease_deadline: monotonic time at which the lease ends.
     :param held_deadline: monotonic time at which the held slots expire.
@@ -29,7 +28,6 @@
     info: VmInfo
     view: Candidate
     connections: ServerConnections
-    confirmed: int = 0
     lease: str = ""
     lease_deadline: float = 0.0
     held_deadline: float = 0.0
@@ -50,9 +48,9 @@
         view = self.view
         view.slots = load.slots
         # Unconfirmed starts use held slots that this report may still count as held.
-        in_flight = max(0, view.own_active - self.confirmed)
+        in_flight = max(0, view.own_active - view.confirmed)
         view.held_slots = max(0, load.held - in_flight)
-        others = load.slots - load.free - load.held - self.confirmed
+        others = load.slots - load.free - load.held - view.confirmed
         observe_load(view, max(0.0, others), now)
         view.leaving = view.leaving or load.leaving
         if load.held:
--- a/packages/entry/src/redwingport_entry/gateways/starts.py
+++ b/packages/entry/src/redwingport_entry/gateways/starts.py
@@ -167,7 +167,7 @@
         # Counted from the time of sending, so that the lease ends for the holder first.
         server.lease_deadline = sent_at + answer.lease_ms / 1000.0
         server.clock_offset = answer.clock - now
-        server.confirmed += len(answer.started)
+        server.view.confirmed += len(answer.started)
         pool.metrics.starts.labels("worker").inc(len(answer.started))
         declined = [self._pending.pop(number) for number in answer.declined]
         for number in answer.started:
@@ -197,7 +197,7 @@
             )
         del self._pending[end.task]
         pool.release(server, task)
-        server.confirmed -= 1
+        server.view.confirmed -= 1
         job.server_by_task.pop(end.task, None)
         hold_s = hold_ms(job.document.response_weight) / 1000
         server.apply_worker_load(end.load, pool.clock(), hold_s)
@@ -235,7 +235,7 @@
         for task in self._pending.values():
             pool.release(server, task)
             if job.server_by_task.pop(task.number, None) is not None:
-                server.confirmed -= 1
+                server.view.confirmed -= 1
         pool.count_end(server, False)
         reason = f"{type(error).__name__}: {error}"
         log_event(
--- a/packages/policy/src/redwingport_policy/base.py
+++ b/packages/policy/src/redwingport_policy/base.py
@@ -31,6 +31,7 @@
     :param cpus: number of processors.
     :param memory_mb: memory, in megabytes.
     :param own_active: number of tasks of this process on the server.
+    :param confirmed: number of those tasks whose start the server confirmed (workers only).
     :param other_active: estimated number of tasks of other processes on the server.
     :param reported_other_active: ``other_active`` as of the last load report.
     :param mean_other_active: mean of ``other_active`` over the last seconds.
@@ -52,6 +53,7 @@
     cpus: float = 0.0
     memory_mb: float = 0.0
     own_active: int = 0
+    confirmed: int = 0
     other_active: float = 0.0
     reported_other_active: float = 0.0
     mean_other_active: float = 0.0
@@ -103,8 +105,8 @@
     """Return whether a server is expected to start the work immediately.
 
     A server with an idle slot leased to this process always has room. A server whose last load
-    report is old is tried again with one task even if it appeared full: this process gets load
-    reports only from servers on which it runs tasks.
+    report is old is tried again with one task even if it appeared full: load reports arrive only
+    when tasks of this process start or end there.
     """
     if candidate.held_slots > 0:
         return True
@@ -113,7 +115,8 @@
     span_s = MAX_RETRY_AGE_S - MIN_RETRY_AGE_S
     retry_age_s = MAX_RETRY_AGE_S - span_s * work.response_weight
     retry_age_s = max(MIN_RETRY_AGE_S, retry_age_s * work.threshold_factor)
-    return candidate.own_active == 0 and work.now - candidate.load_at > retry_age_s
+    is_awaiting_report = candidate.own_active > candidate.confirmed
+    return not is_awaiting_report and work.now - candidate.load_at > retry_age_s
 
 
 def _spare_slots(candidate: Candidate, work: Work) -> float:
--- a/packages/policy/tests/test_limits.py
+++ b/packages/policy/tests/test_limits.py
@@ -12,7 +12,7 @@
 from redwingport_messages.submissions import JobBody, TaskBody
 from redwingport_messages.vms import VmInfo, VmKind
 from redwingport_policy.admission import check_fits, check_queue
-from redwingport_policy.base import Candidate
+from redwingport_policy.base import MAX_RETRY_AGE_S, Candidate, Work, has_room
 from redwingport_policy.connection_share import connection_share
 from redwingport_policy.estimates import MAX_SLOWNESS, RunTimes, learn_slowness
 from redwingport_policy.retry_budget import BURST_RETRIES, RetryBudget
@@ -138,6 +138,19 @@
     assert candidate.slowness == pytest.approx(5.0, rel=0.1)
 
 
+@pytest.mark.parametrize(
+    ("confirmed", "age_s", "expected"),
+    [(15, MAX_RETRY_AGE_S + 0.1, True), (15, 0.1, False), (14, MAX_RETRY_AGE_S + 0.1, False)],
+)
+def test_last_slot_is_tried_again_while_long_tasks_run(
+    confirmed: int, age_s: float, expected: bool
+) -> None:
+    """Guard against a slot that stays idle as no task ends to correct the estimated load."""
+    candidate = Candidate("worker-1", "farm-office", True, 16, own_active=15, confirmed=confirmed)
+    candidate.other_active = candidate.mean_other_active = 0.002
+    assert has_room(candidate, Work(8.0, 45, age_s, may_queue=False)) is expected
+
+
 def make_worker(cpus: float, memory_mb: float) -> VmInfo:
     return VmInfo(
         vm="worker-1",
