Look at all servers once for all tasks that wait for their lists

What callers saw: nothing was traced to it; a new owner lost time that its jobs and heartbeats need. While one server of its shard does not answer, each report of another one looked at all servers again for each waiting task.

Cause: since the list of the server of the last run is no evidence any more, every task that waits under a new owner needs the lists of all servers, and each asked for them by itself.

Change: whether all servers have listed their runs is found out once per pass.

The new test failed before.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1500,11 +1500,14 @@
             self._effects.stop_run(run)
 
     def _unblock_tasks(self, now: float) -> None:
+        if not self._blocked_by_key:
+            return
+        all_listed = self._have_all_servers_listed()
         for work in list(self._blocked_by_key.values()):
             for task in work.task_by_index.values():
                 if task.state is not TaskState.BLOCKED:
                     continue
-                over = self._find_earlier_run_over(work, task, now)
+                over = self._find_earlier_run_over(work, task, all_listed, now)
                 if over is not None:
                     task.state = TaskState.QUEUED
                     task.after = over
@@ -1515,8 +1518,24 @@
                     # It arrived before the holders of an earlier owner were heard.
                     self._review.refuse_on_arrival(work, self.queue, now)
 
-    def _find_earlier_run_over(self, work: Work, task: Task, now: float) -> RunOver | None:
-        """Return the evidence that no earlier run of a task is running; None without evidence."""
+    def _have_all_servers_listed(self) -> bool:
+        """Return whether all servers have listed their runs to this owner since contact was lost.
+
+        The next lifetime of a server has not seen the token of this owner: an earlier owner may
+        have started a task there.
+        """
+        # Without any server, the list of servers may not have arrived yet.
+        return bool(self.server_by_id) and all(
+            server.acquired and server.runs_listed for server in self.server_by_id.values()
+        )
+
+    def _find_earlier_run_over(
+        self, work: Work, task: Task, all_listed: bool, now: float
+    ) -> RunOver | None:
+        """Return the evidence that no earlier run of a task is running; None without evidence.
+
+        :param all_listed: whether all servers have listed their runs.
+        """
         if work.task_name(task.index) in self.run_by_task:
             return None
         known = task.earlier_run.over if task.earlier_run is not None else None
@@ -1531,16 +1550,10 @@
             return None
         # The report of one server is no evidence, not even of that of the last known run: an
         # earlier owner may have started the task elsewhere since, unnoticed by its holder.
-        # Without any server, the list of servers may not have arrived yet.
         all_listed = (
-            bool(self.server_by_id)
+            all_listed
             and not work.other_servers
             and (not task.blocked_on or task.blocked_on in self.server_by_id)
-            # The next lifetime of a server has not seen the token of this owner: an earlier owner
-            # may have started the task there.
-            and all(
-                server.acquired and server.runs_listed for server in self.server_by_id.values()
-            )
         )
         return (known or RunOver.ALL_SERVERS_LISTED) if all_listed else None
 
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -1,5 +1,7 @@
 """Work items that are submitted again, and submissions that share the id of a job."""
 
+from typing import Any
+
 import pytest
 from scheduling_fakes import HOLDER, SERVICE, SchedulerHarness
 
@@ -13,6 +15,7 @@
 )
 from redwingport_dispatch.scheduling.admission import ID_IN_USE
 from redwingport_dispatch.scheduling.history import CANCELLED_RUNS_TTL_S
+from redwingport_dispatch.scheduling.servers import ServerState
 from redwingport_dispatch.scheduling.work import Task, Work
 
 
@@ -494,3 +497,31 @@
     assert harness.effects.started == [run]
     harness.report(run.server_id)
     assert len(harness.effects.started) == 2
+
+
+class CountedServers(dict[str, ServerState]):
+    """Count the servers that were looked at in passes over all of them."""
+
+    looked_at = 0
+
+    def values(self) -> Any:  # type: ignore[override]
+        for server in super().values():
+            self.looked_at += 1
+            yield server
+
+
+# Guards against a new owner that looks at all servers for each waiting task, at each report, while
+# one server does not answer.
+def test_report_looks_at_the_servers_once_for_all_waiting_tasks() -> None:
+    counts = []
+    for jobs in (1, 50):
+        harness = SchedulerHarness(servers=10)
+        harness.add_server("silent", acquired=False)
+        for number in range(jobs):
+            harness.submit(f"job{number}", resumed=True, unheard_s=0.5, deadline_s=9)
+        servers = CountedServers(harness.scheduler.server_by_id)
+        harness.scheduler.server_by_id = servers
+        harness.report("s0")
+        assert harness.effects.started == []
+        counts.append(servers.looked_at)
+    assert counts[0] == counts[1]
