Blame no task for a crash before its start was sent

What callers saw: jobs were answered failed although their tasks had ended no server. When the servers of a domain start again together in silence, a task that one of them lost is placed on another one whose restart is not noticed yet: an idle server is asked every half second only. The start goes to a connection of the former lifetime and is not answered, and the restart was then held against the task, which was alone there: the second crash, so its job failed.

Cause: a start without an answer was taken to have been at the former lifetime, whichever lifetime was there when it was sent.

Change: the report that shows a restart tells how long the new lifetime has been there, as its clock starts anew. A start that was never accepted and was sent since then is not counted. Accepted runs count as before.

The new test failed before.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -1041,9 +1041,12 @@
         if server is None:
             return
         named: set[tuple[str, int]] = set()
+        started_at = math.inf
         if report is not None:
             named.update((listed.task, listed.number) for listed in report.runs)
             named.update((end.task, end.number) for end in report.ends)
+            # At the latest: the clock starts at zero with a lifetime, and may run slow.
+            started_at = now - report.clock_ms / 1000
         ended = []
         for run in server.run_by_task.values():
             if (run.task_name, run.number) in named or run.accepted_at >= sent_at:
@@ -1051,6 +1054,12 @@
             elif run.accepted_at:
                 ended.append(run)
         server.lost_run_by_task.update({run.task_name: run for run in ended})
+        # A start that was sent later did not reach the former lifetime.
+        server.lost_run_by_task = {
+            name: run
+            for name, run in server.lost_run_by_task.items()
+            if run.accepted_at or run.ordered_at <= started_at
+        }
         self._note_crash(server, "restarted", now, named)
         server.lost_run_by_task.clear()
         server.crashed_tasks.clear()
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -585,3 +585,18 @@
     assert "server-crashed" not in harness.effects.events
     harness.scheduler.handle_report("s0", report, harness.now, list(ends), harness.now)
     assert harness.effects.started == []
+
+
+# Guards against a job that fails although its task is innocent: its start was sent after the
+# server had started again, and was not answered, as the connection was to the former lifetime.
+@pytest.mark.parametrize(("age_ms", "is_blamed"), [(150, False), (50, True)])
+def test_unanswered_start_after_the_restart_is_not_blamed_for_the_crash(
+    age_ms: int, is_blamed: bool
+) -> None:
+    harness = SchedulerHarness(servers=1)
+    harness.submit("job", deadline_s=6)
+    harness.lose_start(harness.effects.started[0])
+    harness.now += 0.1
+    report = ServerReport(age_ms, born_ms=2)
+    harness.scheduler.handle_restart("s0", harness.now, report, harness.now)
+    assert harness.scheduler._crash_log.is_suspect("job.0.0.0") is is_blamed
