Count leases from the first answer to a session that was opened again

What callers saw: nothing was traced to it; a task could run twice for the time between a restart and an answer.

Cause: a session remembers that no call with the raised token was answered yet, so that leases are counted from the first answer: until then, late renewals with the former token prolong them. When the server was found at another address in the meantime, the next session did not know of that.

Change: a session that goes on with a raised token counts leases from its first answer.

Result: the new test failed before, as the lease counted from the report of the restart, half a second earlier.

--- a/packages/dispatch/src/redwingport_dispatch/sessions.py
+++ b/packages/dispatch/src/redwingport_dispatch/sessions.py
@@ -75,8 +75,9 @@
         # An earlier session may have raised the token.
         self._token = max(term, server.token)
         self._raise_count = 0
-        # Whether no renewal with the token for the present lifetime has been answered yet.
-        self._token_is_new = False
+        # Whether no renewal with the token for the present lifetime has been answered yet, as far
+        # as this session knows.
+        self._token_is_new = self._token > term
         self._lease_s = lease_s
         self._lease = Lease(lease_s)
         self._may_contest = may_contest
--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -464,6 +464,24 @@
     assert set(server.tokens) == set(notes)
 
 
+# Guards against a run that outlives its lease: no call with the raised token was answered before
+# the server was found at another address, so orders with the former one may have arrived there.
+async def test_lease_of_a_restarted_server_counts_from_its_answer_at_another_address() -> None:
+    harness, server, notes = SchedulerHarness(servers=1), FakeServer(), list[int]()
+    async with open_session(harness, server, notes):
+        server.restart()
+        while not notes:
+            await anyio.sleep(0.001)
+        server.loses_renewals = True
+        await anyio.sleep(0.5)
+    assert notes[0] not in server.tokens
+    server.loses_renewals = False
+    reopened_at = anyio.current_time()
+    async with open_session(harness, server):
+        lease_ends_at = harness.scheduler.server_by_id["s0"].lease_ends_at
+    assert lease_ends_at >= reopened_at + LEASE_S / (1 - CLOCK_RATE_ERROR)
+
+
 # Guards against a run that outlives its lease: the next lifetime of its server has accepted it,
 # and reckons the lease from the arrival of the order.
 async def test_lease_of_a_run_accepted_by_the_next_lifetime_counts_from_its_answer() -> None:
