Add a failing test of a job that waits while its owner changes

What callers would see: a job runs twice at the same time. Its first holder is cut off and served by an owner beyond the cut; its client sends it again, and the owner that knows of the first holder lets it wait. When that owner ends, the next one starts it.

Cause: which holders are out of reach is known to the owner alone and is lost with it, also when the number of shards changes. The holder of the waiting job submits it to the next owner without that.

--- a/packages/dispatch/tests/test_cluster_holders.py
+++ b/packages/dispatch/tests/test_cluster_holders.py
@@ -75,3 +75,30 @@
         cluster.world.run(6.0)
     check(cluster)
     assert 504 not in cluster.statuses()
+
+
+# Guards against a second run of a job that waits for its first holder, which is out of reach, when
+# its owner changes meanwhile: the next owner has not heard of the first holder.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_job_goes_on_waiting_for_its_first_holder_under_the_next_owner(seed: int) -> None:
+    cluster = Cluster(seed, DOMAINS, servers=12, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        holder = next(e for e in cluster.entries if e.node.domain != owner.node.domain)
+        other = next(
+            e for e in cluster.entries if e is not owner and e.node.domain == owner.node.domain
+        )
+        for _ in range(4):
+            cluster.submit(LASTING, holder.node.domain, holder)
+        cluster.world.run(0.1)
+        attempts = [attempt for attempt in cluster.attempts if attempt.entry is holder]
+        cluster.cut_domain(holder.node.domain, CUT_S)
+        # The clients lose their connections, and the holder does not notice it.
+        holder.attempts.clear()
+        cluster.world.run(RESUBMIT_S)
+        for attempt in attempts:
+            cluster._send(attempt.job_id, attempt.kind, owner.node.domain, 2, other)
+        cluster.world.run(0.3)
+        cluster.kill(owner, refuses=True)
+        cluster.world.run(CUT_S + 10.0)
+    check(cluster)
