Keep the ports of tests until their servers listen

Cause: a fault of the tests.

The option that lets others bind to its port is set only after the check, so that servers, which set it too, can listen there, while a second check fails. The number of ports, their range and all assertions stay as they were.

--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -5,7 +5,7 @@
 import random
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import anyio
 import pytest
@@ -29,18 +29,47 @@
     return "asyncio"
 
 
+_reservations: list[socket.socket] = []
+
+
+@pytest.fixture(autouse=True)
+def released_ports() -> Iterator[None]:
+    yield
+    while _reservations:
+        _reservations.pop().close()
+
+
 def free_address() -> str:
     """Return an unused address whose port the system assigns to no outgoing connection.
 
-    Otherwise a link that is opened before the process listens could get that port.
+    Otherwise a link that is opened before the process listens could get that port. Until the end
+    of the test, only servers can bind to it, so that no other caller is given the same address.
     """
     while True:
         port = random.randrange(20_000, 32_000)
-        with socket.socket() as listener, contextlib.suppress(OSError):
-            listener.bind(("127.0.0.1", port))
+        reservation = socket.socket()
+        _reservations.append(reservation)
+        with contextlib.suppress(OSError):
+            reservation.bind(("127.0.0.1", port))
+            # From now on, servers can listen on the port, as they set the same option.
+            reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             return f"127.0.0.1:{port}"
 
 
+# Guards against two processes of a test that are given the same port: the first one listens only
+# after the address of the second one was chosen.
+def test_addresses_of_the_processes_of_a_test_differ(monkeypatch: pytest.MonkeyPatch) -> None:
+    first = free_address()
+    host, _, port = first.rpartition(":")
+    draw, draws = random.randrange, iter([int(port)])
+    monkeypatch.setattr(random, "randrange", lambda *span: next(draws, 0) or draw(*span))
+    assert free_address() != first
+    assert next(draws, 0) == 0
+    # One server can listen on a port that is kept.
+    with socket.create_server((host, int(port))), pytest.raises(OSError):
+        socket.create_server((host, int(port)))
+
+
 class Process:
     """One end of a link, with the messages that it received."""
 
