Run the tests of holders, owners and watchers in virtual time

What callers saw: in two of two series with delays of 0.32 s between iterations of the event loop, as on a busy machine, test_other_job_with_the_id_of_an_open_one_is_refused failed: the second request was not answered yet when the test looked ("(0, b'') == (503, b'{}')").

Cause: a fault of the tests. They wait for real timers, and what happens first is decided by when the process gets a processor. In the test above, the timer with which wait_all_tasks_blocked() looks again was due in the iteration in which every task waits and a cancellation is about to be delivered. Jobs of 0.3 s and a watcher of 0.5 s in the other tests leave the same kind of gap.

Change: the clock of the event loop advances only while nothing can run, as in test_sessions. All durations and assertions stay as they were. None of these tests uses sockets, threads or processes.

--- a/packages/dispatch/tests/test_holder.py
+++ b/packages/dispatch/tests/test_holder.py
@@ -28,15 +28,17 @@
     WorkAbandoned,
     WorkRefused,
 )
+from redwingport_testbed.shards.virtual_time import VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
 
 ROUTE = Route("queue", "host", "/", "desk", 0, 3, 1.6, 0.06, 0.0)
 
 
+# The load of the machine must not decide what happens first, so time is virtual.
 @pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+def anyio_backend() -> tuple[str, dict[str, object]]:
+    return "asyncio", {"loop_factory": VirtualTimeLoop}
 
 
 class Links:
--- a/packages/dispatch/tests/test_job_requests.py
+++ b/packages/dispatch/tests/test_job_requests.py
@@ -25,6 +25,7 @@
 from redwingport_dispatch.ownership.shards import even_layout
 from redwingport_dispatch.routes import RouteTable
 from redwingport_messages.dispatch import CancelWork, SubmitWork, TaskNews, WorkRefused
+from redwingport_testbed.shards.virtual_time import VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
 
@@ -36,9 +37,10 @@
 MAX_WAIT_S = 30
 
 
+# The load of the machine must not decide what happens first, so time is virtual.
 @pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+def anyio_backend() -> tuple[str, dict[str, object]]:
+    return "asyncio", {"loop_factory": VirtualTimeLoop}
 
 
 class TextFormat:
--- a/packages/dispatch/tests/test_owner.py
+++ b/packages/dispatch/tests/test_owner.py
@@ -23,6 +23,7 @@
 from redwingport_dispatch.scheduling.work import Run, RunOver, RunState, Task, Work
 from redwingport_dispatch.settings import Settings
 from redwingport_messages.dispatch import CancelWork, SubmitWork
+from redwingport_testbed.shards.virtual_time import VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
 
@@ -65,9 +66,10 @@
 )
 
 
+# The load of the machine must not decide what happens first, so time is virtual.
 @pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+def anyio_backend() -> tuple[str, dict[str, object]]:
+    return "asyncio", {"loop_factory": VirtualTimeLoop}
 
 
 class NoServerClients:
--- a/packages/dispatch/tests/test_server_watcher.py
+++ b/packages/dispatch/tests/test_server_watcher.py
@@ -11,13 +11,15 @@
 from redwingport_dispatch.interfaces import ServerChanges, ServerListing, ServerTable
 from redwingport_dispatch.metrics import Metrics
 from redwingport_dispatch.watchers import ServerWatcher
+from redwingport_testbed.shards.virtual_time import VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
 
 
+# The load of the machine must not decide what happens first, so time is virtual.
 @pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+def anyio_backend() -> tuple[str, dict[str, object]]:
+    return "asyncio", {"loop_factory": VirtualTimeLoop}
 
 
 @pytest.fixture(autouse=True)
--- a/packages/dispatch/tests/test_watchers.py
+++ b/packages/dispatch/tests/test_watchers.py
@@ -17,13 +17,15 @@
     shard_of,
 )
 from redwingport_dispatch.watchers import LayoutWatcher
+from redwingport_testbed.shards.virtual_time import VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
 
 
+# The load of the machine must not decide what happens first, so time is virtual.
 @pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
+def anyio_backend() -> tuple[str, dict[str, object]]:
+    return "asyncio", {"loop_factory": VirtualTimeLoop}
 
 
 class LayoutStore:
