Forward a call again when its link was replaced by another one

What callers saw: a submission, read or cancellation that another process had to answer ended as outcome-unknown (owner-unreachable), although the owner ran and could be reached.

Cause: when two processes dial each other at once, both keep the link dialed by the smaller name and close the other one. A call that was in flight on the closed link failed, as if its owner had stopped answering.

Change: the call is forwarded again if another link to the same VM is open; the owner attaches it to the run that it has already started, or answers from its record. The side that accepted the preferred link closes the other one, so that both sides have registered the preferred link by then.

Result: found by reading the links' code, not by a failure of a cluster.

--- a/packages/entry/src/redwingport_entry/peers/exchange.py
+++ b/packages/entry/src/redwingport_entry/peers/exchange.py
@@ -194,6 +194,26 @@
         submission_id: SubmissionId,
         submission: Submission,
     ) -> Answer:
+        try:
+            answer = await self._call_on(link, kind, submission_id, submission)
+        except PeerError:
+            # When both sides dial at once, one link is closed, and with it the calls on it. The
+            # owner attaches a call that it has already received to the same run.
+            other = self.mesh.link_by_vm.get(link.peer.vm, link)
+            if other is link or other.is_closed:
+                raise
+            answer = await self._call_on(other, kind, submission_id, submission)
+        return Answer(
+            Outcome(answer.outcome),
+            answer.status,
+            answer.content_type,
+            answer.body,
+            answer.retry_after_s,
+        )
+
+    async def _call_on(
+        self, link: PeerLink, kind: str, submission_id: SubmissionId, submission: Submission
+    ) -> ForwardAnswer:
         remaining_s = max(submission.deadline - anyio.current_time(), 0.0)
         message = Forward(
             0,
@@ -205,14 +225,7 @@
             submission.body,
             remaining_s * 1000.0,
         )
-        answer = await link.call_forward(message, submission.deadline + FORWARD_GRACE_S)
-        return Answer(
-            Outcome(answer.outcome),
-            answer.status,
-            answer.content_type,
-            answer.body,
-            answer.retry_after_s,
-        )
+        return await link.call_forward(message, submission.deadline + FORWARD_GRACE_S)
 
     def _unreachable(self, submission_id: SubmissionId, error: PeerError) -> Problem:
         ended = self._owner_has_ended(submission_id)
--- a/packages/entry/src/redwingport_entry/peers/mesh.py
+++ b/packages/entry/src/redwingport_entry/peers/mesh.py
@@ -324,7 +324,10 @@
             if old.peer.incarnation == link.peer.incarnation and not preferred:
                 return False
             self.link_by_vm[vm] = link
-            await old.close()
+            # The acceptor closes the other link, so that both sides have registered the preferred
+            # one before calls on the other one fail.
+            if old.peer.incarnation != link.peer.incarnation or not link.dialed:
+                await old.close()
         self.link_by_vm[vm] = link
         self._metrics.peers.set(len(self.link_by_vm))
         return True
