Open a new connection when the server has closed an idle one

What callers saw: the HTTP client of the test bed raised ConnectionBrokenError (EndOfStream) for requests that no server had received, so tests and load runs counted submissions without an answer.

Cause: the client reused an idle connection without a look at its state. Entry processes close connections that are idle for 30 s. The pool is used from its top, so a run longer than that has such connections further down.

Change: an idle connection with unread input, such as its end, is dropped.

--- a/packages/testbed/src/redwingport_testbed/http_client.py
+++ b/packages/testbed/src/redwingport_testbed/http_client.py
@@ -4,6 +4,7 @@
 time per request at 50 connections; this client takes 0.13 ms under the same load.
 """
 
+import select
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -11,7 +12,7 @@
 
 import anyio
 import httptools
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 _RECEIVE_BYTES = 256 * 1024
 _NO_HEADERS: Mapping[str, str] = {}
@@ -107,7 +108,7 @@
     async def _exchange(
         self, address: tuple[str, int], target: _Target, message: bytes
     ) -> HttpAnswer:
-        stream = target.idle.pop() if target.idle else await anyio.connect_tcp(*address)
+        stream = await self._open_stream(address, target)
         parser = _AnswerParser()
         try:
             await stream.send(message)
@@ -121,6 +122,15 @@
                 await anyio.aclose_forcefully(stream)
         return parser.answer
 
+    async def _open_stream(self, address: tuple[str, int], target: _Target) -> SocketStream:
+        """Return an idle connection that the server has not closed, or a new one."""
+        while target.idle:
+            stream = target.idle.pop()
+            if not _is_readable(stream):
+                return stream
+            await anyio.aclose_forcefully(stream)
+        return await anyio.connect_tcp(*address)
+
     async def aclose(self) -> None:
         """Close the idle connections."""
         for target in self._target_by_address.values():
@@ -128,6 +138,13 @@
                 await anyio.aclose_forcefully(target.idle.pop())
 
 
+def _is_readable(stream: SocketStream) -> bool:
+    """Return whether an idle connection has unread input, which is its end or nothing useful."""
+    poll = select.poll()
+    poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _encode(method: str, path: str, host: str, body: bytes, headers: Mapping[str, str]) -> bytes:
     lines = [f"{method} {path} HTTP/1.1", f"host: {host}"]
     if body or method in {"POST", "PUT"}:
