Admit a request to test an estimate that refuses all requests

What callers saw: after a spell of slow executors, a process answered every request of an operation with 429 (too-late, not-run), also when nothing was queued and the executors were fast again, until it was restarted.

Cause: admission refuses a request whose learned mean run time, doubled, exceeds the time left. Once that is more than the operation's time-out, no request runs any more, and only a request that runs corrects the mean.

Change: with such an estimate, and while no request of the operation is in progress, admission uses the declared run time. So one request at a time tests the estimate. Estimates that only callers with shorter time-outs exceed refuse these as before.

--- a/packages/entry/src/redwingport_entry/runners/requests.py
+++ b/packages/entry/src/redwingport_entry/runners/requests.py
@@ -1,5 +1,7 @@
 """Runner of requests: admission, routing, accurate failure outcomes and bounded retries."""
 
+from collections import Counter
+
 from result import Err
 
 from redwingport_entry.gateways.executors import (
@@ -39,6 +41,7 @@
         self._executors = executors
         self._budget_percent = -1
         self._budget = RetryBudget(0)
+        self._running_by_operation: Counter[str] = Counter()
 
     async def run(
         self, record: Record, submission: Submission, document: ServiceDocument
@@ -56,11 +59,15 @@
             return answer_of_problem(not_run(404, "unknown-operation", detail, step="admission"))
         submission = self._limit_deadline(submission, operation)
         run_s = self._expected_run_s(submission.operation, operation)
-        refused = self._admission_refusal(document, submission, run_s)
+        refused = self._admission_refusal(document, submission, operation, run_s)
         if refused is not None:
             return refused
         self._count_first_attempt(document)
-        return await self._run_attempts(record, submission, document, operation, run_s)
+        self._running_by_operation[submission.operation] += 1
+        try:
+            return await self._run_attempts(record, submission, document, operation, run_s)
+        finally:
+            self._running_by_operation[submission.operation] -= 1
 
     async def _run_attempts(
         self,
@@ -131,9 +138,17 @@
         return self._executors.run_times.mean_s(name) or operation.expected_ms / 1000.0
 
     def _admission_refusal(
-        self, document: ServiceDocument, submission: Submission, run_s: float
+        self,
+        document: ServiceDocument,
+        submission: Submission,
+        operation: OperationSpec,
+        run_s: float,
     ) -> Answer | None:
         executors = self._executors
+        refuses_all = run_s * RUN_TIME_MARGIN > operation.timeout_ms / 1000.0
+        if refuses_all and not self._running_by_operation[submission.operation]:
+            # Only a request that runs can correct such an estimate.
+            run_s = min(run_s, operation.expected_ms / 1000.0)
         problem = check_queue(
             executors.queue.length + 1,
             min(document.queue_limit, executors.settings.limits.queue_limit),
