Choose the ports of a test fleet away from those of other tests

What callers saw: a cluster of the test bed did not start, as two of its six entry processes ended with "address already in use". In a run beside tests of the platform, test_answers_of_a_stopped_vm_are_given_by_its_domain failed once with it.

Cause: a fleet takes a span of 401 ports that are free when it is laid out, and its processes listen up to seconds later. The spans began from 20,000 to 29,222, while the tests of the dispatcher and of the platform choose their ports from 20,000 to 31,999. The log names the two ports, 27020 and 27022; which process listened on them was not recorded.

Two runs of the test bed at once may still choose the same span.

--- a/packages/testbed/tests/test_fleet.py
+++ b/packages/testbed/tests/test_fleet.py
@@ -8,7 +8,16 @@
 
 from redwingport_entry.settings import load_settings
 from redwingport_messages.documents import ServiceDocument
-from redwingport_testbed.standins.fleet import DEPLOYMENT_BY_NAME, Fleet
+from redwingport_testbed.standins.fleet import (
+    BASE_PORTS,
+    DEPLOYMENT_BY_NAME,
+    PORT_SPAN,
+    Fleet,
+    free_base_port,
+)
+
+# Ports that the tests of the dispatcher and of the platform choose for their processes.
+OTHER_TEST_PORTS = range(20_000, 32_000)
 
 deployments = pytest.mark.parametrize("name", sorted(DEPLOYMENT_BY_NAME))
 
@@ -49,3 +58,15 @@
 def test_the_service_documents_are_valid(name: str) -> None:
     for document in Fleet(DEPLOYMENT_BY_NAME[name], 20_000).service_documents():
         ServiceDocument.model_validate(document)
+
+
+# Guards against an entry process that cannot listen: its port was free when the base port was
+# chosen, and in use by another test suite when the process started.
+def test_ports_are_not_those_of_other_tests_nor_of_outgoing_connections() -> None:
+    text = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
+    first, last = map(int, text.split())
+    chosen = free_base_port()
+    assert chosen in BASE_PORTS
+    for base_port in (chosen, *BASE_PORTS):
+        for port in range(base_port, base_port + PORT_SPAN):
+            assert port not in OTHER_TEST_PORTS and not first <= port <= last
