Let the balancer of the drain test forget old reports of readiness

What was seen: test_rolling_restart_under_load_cuts_nothing failed with 121 of 4,685 submissions without an answer, at load 30 to 40 on 8 cores.

Cause: the test is wrong. A process that drains listens for another second, and the operations page asks for a balancer that checks more often than that. The balancer of the test polled all processes, waited for the slowest answer and used the result until the next one. In a trial copy of the test, a poll took up to 9.4 s and submissions were sent on reports up to 11 s old, so that they went to processes that no longer listened.

Change: each process is polled on its own, and a report counts for 0.5 s. The assertion is unchanged: any submission without a complete answer fails the test. A process is now stopped only while a submission is in flight to it, which was left to chance before.

--- a/packages/testbed/tests/faults/test_drain.py
+++ b/packages/testbed/tests/faults/test_drain.py
@@ -1,43 +1,66 @@
 """P7: guard against a graceful shutdown that interrupts an in-flight request."""
 
 import json
+from collections import Counter
 from pathlib import Path
 
 import anyio
 import pytest
 
-from redwingport_testbed.cluster.harness import Cluster, Reply, gather, make_fleet, running_cluster
+from redwingport_testbed.cluster.harness import (
+    Cluster,
+    Reply,
+    gather,
+    make_fleet,
+    running_cluster,
+    wait_until,
+)
 from redwingport_testbed.entry_client import EntryClient
 
 pytestmark = pytest.mark.anyio
 BALANCER_POLL_S = 0.2
+# Half of the time for which a process that reports draining accepts submissions.
+BALANCER_STATE_S = 0.5
 
 
 class Balancer:
-    """Send load to the entry VMs that report ready, as the platform's load balancer does."""
+    """Send load to the entry VMs that report ready, as the platform's load balancer does.
+
+    An old report counts for nothing, so that a busy machine does not send submissions to a process
+    that reported draining long ago.
+    """
 
     def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
-        self.ready: list[int] = list(range(len(cluster.vms)))
+        self.ready_at_by_vm: dict[int, float] = {}
+        self.in_flight: Counter[int] = Counter()
         self.stopped = False
         self.replies: list[Reply] = []
 
-    async def poll(self) -> None:
-        cluster = self.cluster
+    def ready(self) -> list[int]:
+        """Return the VMs that were ready at most BALANCER_STATE_S ago."""
+        oldest = anyio.current_time() - BALANCER_STATE_S
+        return sorted(vm for vm, at in self.ready_at_by_vm.items() if at >= oldest)
+
+    async def poll(self, vm: int) -> None:
+        entry = EntryClient(self.cluster.client, self.cluster.url(vm))
         while not self.stopped:
-            entries = [
-                EntryClient(cluster.client, cluster.url(n)) for n in range(len(cluster.vms))
-            ]
-            states = await gather(*(entry.ready() for entry in entries))
-            self.ready = [number for number, state in enumerate(states) if state]
+            asked_at = anyio.current_time()
+            if await entry.ready():
+                self.ready_at_by_vm[vm] = asked_at
+            else:
+                self.ready_at_by_vm.pop(vm, None)
             await anyio.sleep(BALANCER_POLL_S)
 
     async def load(self, number: int) -> None:
         cluster = self.cluster
         while not self.stopped:
-            vm = self.ready[number % len(self.ready)]
-            call = cluster.request(80.0) if number % 3 else cluster.job(100.0, 900.0)
-            self.replies.append(await cluster.submit(vm, call))
+            if ready := self.ready():
+                vm = ready[number % len(ready)]
+                call = cluster.request(80.0) if number % 3 else cluster.job(100.0, 900.0)
+                self.in_flight[vm] += 1
+                self.replies.append(await cluster.submit(vm, call))
+                self.in_flight[vm] -= 1
             await anyio.sleep(0.01)
 
 
@@ -45,11 +68,13 @@
     async with running_cluster(make_fleet(), tmp_path) as cluster:
         balancer = Balancer(cluster)
         async with anyio.create_task_group() as group:
-            group.start_soon(balancer.poll)
+            for number in range(6):
+                group.start_soon(balancer.poll, number)
             for number in range(24):
                 group.start_soon(balancer.load, number)
             await anyio.sleep(1)
             for number in range(6):
+                await wait_until(lambda n=number: balancer.in_flight[n], f"load at {number}")
                 assert await cluster.stop(number) == 0
                 await cluster.start(number)
             await anyio.sleep(1)
