Add a failing test of starts that are rejected as late

The owner dates the answer of a server to the time at which it has read it, so that leases end early rather than late. An answer that it reads more than a lease late makes the server's clock look that much slower, and each start carries a lease that is over there. The task is queued and placed again at once, with the same estimate, until the next answer of that server. Nothing runs twice by it.

--- a/packages/dispatch/tests/test_sessions.py
+++ b/packages/dispatch/tests/test_sessions.py
@@ -250,6 +250,8 @@
         if order.token < self._token:
             return self._fail(OrderFailure.FENCED)
         self._token = order.token
+        if order.lease_until_ms <= self._clock_ms:
+            return self._fail(OrderFailure.LATE)
         if order.number <= self._rejected_by_task.get(order.task, 0):
             return self._fail(OrderFailure.OLD_RUN)
         self._run_by_task[order.task] = order.number
@@ -596,3 +598,26 @@
         await anyio.sleep(0.3)
     assert harness.effects.done[2:] == [("three", 0)]
     assert len(harness.effects.started) == 3
+
+
+# Guards against a flood of orders: the last answer of a server was read so late that the server
+# rejects each start as late, and each rejection was followed by the next start at once.
+async def test_start_rejected_as_late_is_not_followed_by_a_flood_of_starts() -> None:
+    harness, server = SchedulerHarness(servers=1), FakeServer()
+    async with open_session(harness, server) as session:
+        server.reports_before_gate = True
+        gate = server.renewal_gate = anyio.Event()
+        await anyio.sleep(1.3)
+        server.renewal_gate = anyio.Event()
+        gate.set()
+        await anyio.sleep(0.005)
+        harness.now = anyio.current_time()
+        work = harness.submit("job", deadline_s=60)
+        sent = 0
+        for _ in range(50):
+            for run in harness.effects.started[sent:]:
+                session.start(run, work)
+                sent += 1
+            await anyio.sleep(0.001)
+        server.renewal_gate.set()
+    assert sent <= 2
