Test that a process that wakes leaves a drained shard to its next owner

What callers saw: test_stopped_owner_hands_over_without_a_failed_job failed once beside load, as a job was refused as too late (429). Its logs show two handovers: the owner announced its drain, another process took the shard over 0.19 s later, and a third one, which had not run for 1.39 s, took it over as well 1 ms after it woke. Four work items were queued then.

Cause: a process that wakes reads the announcement of the drain before it reads who has taken the shard over since. Peers get 0.1 s to be heard before they count as lost after a pause, but a takeover from a draining owner waits for nothing. No task ran twice: the earlier owner gives the shard up for the higher term.

--- a/packages/dispatch/tests/test_cluster_owners.py
+++ b/packages/dispatch/tests/test_cluster_owners.py
@@ -31,6 +31,12 @@
     return owner, holder, [entry for entry in others if entry is not holder]
 
 
+def rank(entry: Entry) -> tuple[int, str]:
+    """Return what processes that own no shard rank by, the highest first."""
+    assert entry.process is not None
+    return entry.process._election._weight, entry.process.incarnation
+
+
 # Guards against a previous owner that goes on with work items that its holder has submitted to
 # another owner, on servers that only the previous owner reaches.
 @pytest.mark.parametrize("seed", range(1, 5))
@@ -282,6 +288,29 @@
     assert set(cluster.statuses()) == {200}
 
 
+# Guards against a second handover, after which queued jobs are refused as too late: a process that
+# wakes reads that the owner drains before it reads who has taken the shard over.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_process_that_wakes_during_a_drain_leaves_the_shard_to_its_next_owner(seed: int) -> None:
+    cluster = Cluster(seed, TINY, servers=6, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner, _, _ = owner_and_holder(cluster)
+        paused = max((entry for entry in cluster.entries if entry is not owner), key=rank)
+        cluster.world.run(1.0)
+        events_before = len(cluster.events)
+        cluster.freeze(paused, 1.4)
+        cluster.world.run(0.2)
+        cluster.drain(owner)
+        cluster.world.run(2.4)
+        changes = [
+            fields["owner"]
+            for _, _, event, fields in cluster.events[events_before:]
+            if event == "owner-changed" and fields["is_self"]
+        ]
+        assert len(changes) == 1, changes
+    check(cluster)
+
+
 # Guards against a next owner that starts a task because the server of the last run that the holder
 # knows of does not list it: the previous owner has started it elsewhere since, out of its reach.
 @pytest.mark.parametrize("seed", range(1, 9))
