Wait for the listener and the close in the test of a peer's connections

Cause: a fault of the test. It connects 0.05 s after the receiver's start; if the process waits for a processor meanwhile, the timer is due before the receiver listens.

Change: the test connects when the receiver listens.

--- a/packages/dispatch/tests/test_peers.py
+++ b/packages/dispatch/tests/test_peers.py
@@ -444,18 +444,27 @@
     host, _, port = receiver.address.rpartition(":")
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(receiver.mesh.run)
-        await anyio.sleep(0.05)
-        async with (
-            await anyio.connect_tcp(host, int(port)) as one,
-            await anyio.connect_tcp(host, int(port)) as other,
-        ):
-            for stream, presence in ((one, first), (other, second)):
-                await stream.send(encode_frame(presence))
-                await anyio.sleep(0.05)
-            for stream, number in ((one, 1), (other, 2)):
-                with contextlib.suppress(anyio.BrokenResourceError):
-                    await stream.send(encode_frame(TaskNews([(number, 0, "done", 1, "s")])))
-                await anyio.sleep(0.05)
+        with anyio.fail_after(5):
+            # Set as soon as the process listens.
+            while receiver.mesh._task_group is None:
+                await anyio.sleep(0.01)
+            async with (
+                await anyio.connect_tcp(host, int(port)) as one,
+                await anyio.connect_tcp(host, int(port)) as other,
+            ):
+                await one.send(encode_frame(first))
+                while not receiver.presence_count():
+                    await anyio.sleep(0.01)
+                await other.send(encode_frame(second))
+                # The receiver sends nothing, and closes the earlier connection.
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await (other if is_later_first else one).receive()
+                for stream, number in ((one, 1), (other, 2)):
+                    with contextlib.suppress(anyio.BrokenResourceError):
+                        await stream.send(encode_frame(TaskNews([(number, 0, "done", 1, "s")])))
+                    await anyio.sleep(0.05)
+                while not receiver.task_event_count():
+                    await anyio.sleep(0.01)
         task_group.cancel_scope.cancel()
     events = [message.events for message in receiver.received if isinstance(message, TaskNews)]
     assert events == [[(1 if is_later_first else 2, 0, "done", 1, "s")]]
