Add failing tests of a job whose displaced holder was missed for a moment

What callers would see: a job is answered 504 at its deadline although it could be served. It is sent again while its first holder is cut off from the owner for 0.55 to 0.7 s.

Cause: the owner displaces the first submission, then misses its holder, which takes it out of the displaced ones. When the holder is heard again, it submits the job, is told that it was abandoned, and ends it; that cancel is no longer taken for the confirmation, so the second submission waits for the first one's deadline.

--- a/packages/dispatch/tests/test_cluster_holders.py
+++ b/packages/dispatch/tests/test_cluster_holders.py
@@ -102,3 +102,29 @@
         cluster.kill(owner, refuses=True)
         cluster.world.run(CUT_S + 10.0)
     check(cluster)
+
+
+# Guards against a job that is answered 504 although its first holder, which was cut off from the
+# owner for a moment when the job was sent again, has ended it soon after.
+@pytest.mark.parametrize("seed", [3, 5, 6, 11])
+def test_job_sent_again_during_a_short_cut_of_its_first_holder_is_served(seed: int) -> None:
+    cluster = Cluster(seed, DOMAINS, servers=12, shards=1, timeout_s=10.0)
+    with cluster.running():
+        owner = cluster.owners()[0][0]
+        holder = next(e for e in cluster.entries if e.node.domain != owner.node.domain)
+        other = next(
+            e for e in cluster.entries if e is not owner and e.node.domain == owner.node.domain
+        )
+        for _ in range(2):
+            cluster.submit(LASTING, holder.node.domain, holder)
+        cluster.world.run(0.1)
+        attempts = [attempt for attempt in cluster.attempts if attempt.entry is holder]
+        # The clients lose their connections, and the holder does not notice it.
+        holder.attempts.clear()
+        cluster.cut_pairs([holder.node.name], [owner.node.name], 0.6)
+        cluster.world.run(0.1)
+        for attempt in attempts:
+            cluster._send(attempt.job_id, attempt.kind, owner.node.domain, 2, other)
+        cluster.world.run(15.0)
+    check(cluster)
+    assert 504 not in cluster.statuses()
--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -525,3 +525,21 @@
         assert harness.effects.started == []
         counts.append(servers.looked_at)
     assert counts[0] == counts[1]
+
+
+# Guards against a job that waits until its deadline although its first holder is heard again, is
+# told once more that it was displaced, and has ended it.
+def test_job_is_started_when_its_displaced_holder_has_ended_it_after_a_silence() -> None:
+    harness = SchedulerHarness()
+    first = harness.submit("job", holder="one", deadline_s=9)
+    harness.accept_all()
+    harness.submit("job", holder="two", deadline_s=20, target_s=18)
+    harness.end(harness.effects.started[0], EndKind.STOPPED)
+    harness.scheduler.drop_holder("one", harness.now)
+    harness.advance(0.5)
+    harness.scheduler.cancel_others("one", {first.key}, harness.now)
+    harness.submit("job", holder="one", work_id=first.work_id, deadline_s=9, resumed=True)
+    assert harness.effects.abandoned == ["job"] * 2
+    harness.scheduler.cancel(first.key, harness.now)
+    harness.advance(CANCELLED_RUNS_TTL_S + 0.1)
+    assert len(harness.effects.started) == 2
