Add a failing test of a list from before the handover of a work item

Cause: an owner that reaches a majority may raise its token against its successor, and start tasks on a server that has listed its runs to that one already. The holder then hands the work item over and names that run; the successor finds it in no list, as the list is older than the run, takes that for evidence and starts the task.

--- a/packages/dispatch/tests/test_scheduler_submissions.py
+++ b/packages/dispatch/tests/test_scheduler_submissions.py
@@ -543,3 +543,15 @@
     harness.scheduler.cancel(first.key, harness.now)
     harness.advance(CANCELLED_RUNS_TTL_S + 0.1)
     assert len(harness.effects.started) == 2
+
+
+# Guards against a task that runs twice when its earlier owner has raised its token against this
+# one: the server that has accepted the last known run listed its runs before that.
+def test_resumed_task_waits_for_a_list_of_the_server_of_its_last_run() -> None:
+    harness = SchedulerHarness()
+    harness.advance(0.3)
+    harness.submit("job", resumed=True, placed={0: "s0"}, deadline_s=10.0)
+    harness.advance(0.3)
+    assert harness.effects.started == []
+    harness.report("s0")
+    assert len(harness.effects.started) == 1
