Add a failing test of a crash that two owners date differently

What callers would see: a job is answered failed after one crash under its task.

Cause: the server list of a new owner may name an older lifetime than the last one. The report that shows a later one is taken for the crash of that older lifetime under the runs of the previous owner, which has recorded the crash with the lifetime that has ended. The log counts both.

--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -600,3 +600,18 @@
     report = ServerReport(age_ms, born_ms=2)
     harness.scheduler.handle_restart("s0", harness.now, report, harness.now)
     assert harness.scheduler._crash_log.is_suspect("job.0.0.0") is is_blamed
+
+
+# Guards against a job that fails by one crash: the server list of a new owner named an older
+# lifetime than the one that the previous owner saw crash.
+def test_crash_that_a_new_owner_finds_with_an_older_lifetime_counts_once() -> None:
+    harness = SchedulerHarness(servers=0)
+    harness.add_server("s0", acquired=False)
+    server = harness.scheduler.server_by_id["s0"]
+    server.born_ms = 1
+    harness.submit("job", resumed=True, placed={0: "s0"}, unheard_s=0.5, deadline_s=6)
+    crash_log = harness.scheduler._crash_log
+    crash_log.merge([Crash("job.0.0.0", Lifetime("s0", 2), True, harness.now + 60.0, 1)])
+    report = ServerReport(harness.clock_ms, born_ms=3)
+    harness.scheduler.handle_restart("s0", harness.now, report, harness.now)
+    assert len(crash_log.crashes_under("job.0.0.0")) == 1
