Take a list of runs for evidence only if it is newer than the handover

Cause: an owner that reaches a majority may raise its token against its successor, and start tasks on a server that has listed its runs to that one already. The holder then hands the work item over and names that run; the successor found it in no list, as the list was older than the run, took that for evidence and started the task.

Change: the list of the server of the last known run counts only if it was asked for after the work item was submitted. Tasks whose run is listed are adopted at once as before.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -248,6 +248,7 @@
             self._effects.abandon(work)
             self._history.note_given_up(work, now)
             return
+        work.submitted_at = now
         work.late = now + work.shape.estimate_s > work.target_at
         work.resumed = resumed
         settled_at = max(self._settled_at, now)
@@ -522,6 +523,7 @@
 
         Its deadline is extended if another client with a later one waits for the job.
         """
+        work.submitted_at = now
         work.deadline_at = max(work.deadline_at, again.deadline_at)
         self._report_done_again(work)
         self._report_placed_again(work)
@@ -1012,6 +1014,7 @@
         server.observe_progress(now)
         self._relocate_late_runs(server, now)
         server.acquired = server.runs_listed = True
+        server.listed_at = sent_at
         server.yielded = False
         server.full = False
         self._unblock_tasks(now)
@@ -1538,6 +1541,10 @@
             server.acquired and server.runs_listed for server in self.server_by_id.values()
         )
 
+    def _has_listed_since(self, server_id: str, at: float) -> bool:
+        server = self.server_by_id.get(server_id)
+        return server is not None and server.listed_at >= at
+
     def _find_earlier_run_over(
         self, work: Work, task: Task, all_listed: bool, now: float
     ) -> RunOver | None:
@@ -1562,7 +1569,7 @@
         all_listed = (
             all_listed
             and not work.other_servers
-            and (not task.blocked_on or task.blocked_on in self.server_by_id)
+            and (not task.blocked_on or self._has_listed_since(task.blocked_on, work.submitted_at))
         )
         return (known or RunOver.ALL_SERVERS_LISTED) if all_listed else None
 
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/servers.py
@@ -39,6 +39,7 @@
         milliseconds; 0 when unknown.
     :param runs_listed: whether it has listed its runs since this owner took over and since contact
         was lost.
+    :param listed_at: monotonic time at which its last list of runs was asked for, in seconds.
     :param token: highest fencing token that this owner has raised for the server; 0 if it uses its
         term.
     :param lost_run_by_task: runs that were on the server when contact was lost, by task name,
@@ -65,6 +66,7 @@
     lease_ends_at: float = 0.0
     born_ms: int = 0
     runs_listed: bool = False
+    listed_at: float = 0.0
     token: int = 0
     lost_run_by_task: dict[str, Run] = field(default_factory=dict)
     crashed_tasks: set[str] = field(default_factory=set)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/work.py
@@ -116,6 +116,7 @@
     :param refused_for_load: whether another shard has refused it for its load.
     :param identity: hash that tells its job from others with the same id.
     :param safe_at: monotonic time from which no run of an earlier owner is expected, in seconds.
+    :param submitted_at: monotonic time of its last submission to this owner, in seconds.
     :param handover_until: monotonic time until which reports of the previous owner may still
         arrive, in seconds.
     :param late: whether the work item arrived too late to meet its target even without queueing.
@@ -141,6 +142,7 @@
     refused_for_load: bool = False
     identity: str = ""
     safe_at: float = 0.0
+    submitted_at: float = 0.0
     handover_until: float = 0.0
     late: bool = False
     ever_started: bool = False
