Limit the wait for a holder that has ended its job after a silence

What callers saw: a job was answered 504 at its deadline although it could be served. It was sent again while its first holder was cut off from the owner for 0.55 to 0.7 s.

Cause: the owner displaces the first submission and then misses its holder, so that the work item no longer counts as displaced. When the holder is heard again, it submits the job, is told that it was abandoned, and ends it; that cancel was not taken for the confirmation, so the second submission waited for the first one's deadline.

Change: a cancel of a job of which runs may go on limits the wait to the time in which such runs end, as it does for jobs that were passed on.

--- a/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/history.py
@@ -229,6 +229,12 @@
             now < until for (holder, _), until in until_by_key.items() if holder != work.holder
         )
 
+    def limit_out_of_reach(self, key: WorkKey, now: float) -> None:
+        """Record that the holder of a work item has ended its job, of which runs may go on."""
+        for until_by_key in self._out_of_reach_by_job_id.values():
+            if key in until_by_key:
+                until_by_key[key] = min(until_by_key[key], now + CANCELLED_RUNS_TTL_S)
+
     def forget_out_of_reach(self, key: WorkKey) -> None:
         """Forget a work item that its holder has cancelled, or submitted to this owner."""
         self._displaced_keys.discard(key)
--- a/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
+++ b/packages/dispatch/src/redwingport_dispatch/scheduling/scheduler.py
@@ -327,6 +327,7 @@
         self._history.confirm_displaced(key)
         if may_be_running:
             self._history.limit_passed_on(key, now)
+            self._history.limit_out_of_reach(key, now)
         else:
             self._history.forget_out_of_reach(key)
             self._history.forget_passed_on(key)
