--- a/review/standins-3/small_site.py
+++ b/review/standins-3/small_site.py
@@ -263,6 +263,7 @@
         super().__init__(free_port())
         self.site, self.server_id, self.zone = site, server_id, zone
         self.kind, self.rack, self.cpu = kind, rack, cpu
+        self.stop_s = STOP_S
         self.draining = False
         self.listed = False
         self._seq = 0
@@ -403,7 +404,7 @@
         run = self.running.get(task)
         if run is not None and run.number <= number and not run.stopping:
             run.stopping = True
-            asyncio.get_running_loop().call_later(STOP_S, self._end, run, "stopped")
+            asyncio.get_running_loop().call_later(self.stop_s, self._end, run, "stopped")
 
     def _percent(self, run: Run) -> int:
         return min(100, int((time.monotonic() - run.started_at) / run.work_s * 100))
